--- /dev/null
+++ b/cmake/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/core/include/catkintally/core/table/table_snapshot.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <catkintally/core/table/domain_row.hpp>
+#include <catkintally/core/table/service_row.hpp>
+#include <catkintally/core/table/target_row.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace catkintally::core
+{
+
+/// A service with its targets: one object in the platform's store.
+struct service_config
+{
+    /// The service's own columns.
+    service_row service;
+    /// Its targets, in the order of the table.
+    std::vector<target_row> targets;
+    /// Version of the object in the store.
+    std::uint64_t version = 0;
+
+    bool operator==(const service_config&) const = default;
+};
+
+/// One checked revision of the whole table. Instances replace it as a whole and only forward.
+struct table_snapshot
+{
+    /// Store version of the newest object in the table.
+    std::uint64_t revision = 0;
+    /// Services by name.
+    std::map<std::string, service_config> services;
+    /// Failure domains by name.
+    std::map<std::string, domain_row> domains;
+
+    /// True if the domain is listed and out. Unlisted domains are in.
+    [[nodiscard]] bool is_out(const std::string& domain) const
+    {
+        const auto found = domains.find(domain);
+        return found != domains.end() && found->second.state == domain_state::out;
+    }
+};
+
+} // namespace catkintally::core
--- /dev/null
+++ b/packages/core/include/catkintally/core/time/manual_timer_service.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <catkintally/core/time/timer_service.hpp>
+
+#include <map>
+#include <utility>
+
+namespace catkintally::core
+{
+
+/// Timer service whose time advances only on request. Use it in tests and in deterministic replays.
+class manual_timer_service final : public timer_service
+{
+public:
+    [[nodiscard]] time_point now() const override { return now_; }
+
+    timer_id schedule_after(duration delay, std::function<void()> callback) override;
+
+    void cancel(timer_id id) override;
+
+    /// Advances time by `step` and runs every callback that falls due, in order of due time and,
+    /// among equals, of subscription.
+    void advance(duration step);
+
+private:
+    using queue_key = std::pair<time_point, timer_id>;
+
+    time_point now_{};
+    timer_id next_id_ = 1;
+    std::map<queue_key, std::function<void()>> queue_;
+    std::map<timer_id, time_point> due_;
+};
+
+} // namespace catkintally::core
