--- /dev/null
+++ b/packages/runtime/include/catkintally/runtime/settings/settings_loader.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <catkintally/runtime/generated/settings.generated.hpp>
+
+#include <boost/leaf.hpp>
+
+#include <cstdint>
+#include <istream>
+#include <ostream>
+#include <string>
+
+namespace catkintally::runtime
+{
+
+/// Why a settings file was refused.
+enum class settings_fault : std::uint8_t
+{
+    unreadable,
+    syntax,
+    unknown_section,
+    unknown_key,
+    missing_key,
+    bad_value
+};
+
+/// A refused settings file, with the place of the first fault.
+struct settings_error
+{
+    settings_fault fault = settings_fault::unreadable;
+    std::string file;
+    std::string section;
+    std::string key;
+    /// What the key accepts, or what the parser says.
+    std::string detail;
+
+    /// One line that names file, section and key.
+    [[nodiscard]] std::string message() const;
+};
+
+/// Exit status of every program whose settings or arguments are refused.
+constexpr int exit_bad_settings = 2;
+
+/// Reads and checks an INI file. A failure carries a settings_error.
+[[nodiscard]] boost::leaf::result<settings> load_settings(const std::string& path);
+
+/// As load_settings, from an open stream; `file` is used in messages.
+[[nodiscard]] boost::leaf::result<settings>
+read_settings(std::istream& in, const std::string& file);
+
+/// Prints all settings as an INI file with help, units, ranges and defaults. Secrets are masked.
+void print_settings(std::ostream& out, const settings& values);
+
+} // namespace catkintally::runtime
--- /dev/null
+++ b/packages/runtime/src/settings/settings_loader.cpp
@@ -0,0 +1,273 @@
+#include <catkintally/runtime/settings/setting_descriptor.hpp>
+#include <catkintally/runtime/settings/settings_loader.hpp>
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include <event2/util.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <optional>
+#include <set>
+
+#include <sys/socket.h>
+
+namespace catkintally::runtime
+{
+
+namespace
+{
+
+namespace leaf = boost::leaf;
+
+/// An address is accepted only if it is numeric and names a port.
+bool is_address(const std::string& text)
+{
+    sockaddr_storage storage{};
+    int length = sizeof storage;
+    const auto colon = text.rfind(':');
+    return colon != std::string::npos && colon + 1 < text.size() && text.back() != ']' &&
+           evutil_parse_sockaddr_port(
+               text.c_str(), reinterpret_cast<sockaddr*>(&storage), &length) == 0;
+}
+
+std::vector<std::string> split_list(const std::string& text)
+{
+    std::vector<std::string> items;
+    std::size_t start = 0;
+    while (start <= text.size())
+    {
+        const auto end = std::min(text.find(',', start), text.size());
+        const auto first = text.find_first_not_of(" \t", start);
+        if (first < end)
+        {
+            items.push_back(text.substr(first, text.find_last_not_of(" \t", end - 1) + 1 - first));
+        }
+        start = end + 1;
+    }
+    return items;
+}
+
+/// What a key accepts, for messages and for the printed file.
+std::string accepted(const setting_descriptor& row)
+{
+    switch (row.type)
+    {
+    case setting_type::address:
+        return "an IP address with a port";
+    case setting_type::address_list:
+        return "IP addresses with ports, separated by commas";
+    case setting_type::integer:
+        return "a number of " + std::string(row.unit) + " from " + std::to_string(row.min) +
+               " to " + std::to_string(row.max);
+    case setting_type::choice:
+    {
+        std::string names = "one of";
+        for (const auto choice : row.choices)
+        {
+            names.append(" ").append(choice);
+        }
+        return names;
+    }
+    case setting_type::text:
+    case setting_type::secret:
+        break;
+    }
+    return "text";
+}
+
+std::optional<setting_value> parse_integer(const setting_descriptor& row, const std::string& text)
+{
+    std::uint64_t number = 0;
+    const auto* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, number);
+    if (error != std::errc() || end != last || number < row.min || number > row.max)
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/// Reads one value; nothing if the key does not accept it.
+std::optional<setting_value> parse(const setting_descriptor& row, const std::string& text)
+{
+    switch (row.type)
+    {
+    case setting_type::integer:
+        return parse_integer(row, text);
+    case setting_type::address:
+        return is_address(text) ? std::optional<setting_value>(text) : std::nullopt;
+    case setting_type::address_list:
+    {
+        auto items = split_list(text);
+        const bool valid =
+            std::all_of(items.begin(), items.end(), is_address) && !(row.required && items.empty());
+        return valid ? std::optional<setting_value>(std::move(items)) : std::nullopt;
+    }
+    case setting_type::choice:
+        return setting_choice_index(text, row.choices) < row.choices.size()
+                   ? std::optional<setting_value>(text)
+                   : std::nullopt;
+    case setting_type::text:
+    case setting_type::secret:
+        break;
+    }
+    return row.required && text.empty() ? std::nullopt : std::optional<setting_value>(text);
+}
+
+std::string text_of(const setting_descriptor& row, const settings& values)
+{
+    const setting_value value = row.read(values);
+    if (const auto* number = std::get_if<std::uint64_t>(&value))
+    {
+        return std::to_string(*number);
+    }
+    if (const auto* text = std::get_if<std::string>(&value))
+    {
+        return row.type == setting_type::secret && !text->empty() ? "********" : *text;
+    }
+    std::string joined;
+    for (const auto& item : *std::get_if<std::vector<std::string>>(&value))
+    {
+        joined += joined.empty() ? item : ", " + item;
+    }
+    return joined;
+}
+
+} // namespace
+
+std::string settings_error::message() const
+{
+    const std::string place = file + ": [" + section + "] " + key + ": ";
+    switch (fault)
+    {
+    case settings_fault::unreadable:
+        return file + ": cannot be read";
+    case settings_fault::syntax:
+        return file + ": " + detail;
+    case settings_fault::unknown_section:
+        return file + ": [" + section + "]: unknown section";
+    case settings_fault::unknown_key:
+        return place + "unknown key";
+    case settings_fault::missing_key:
+        return place + "missing key, expected " + detail;
+    case settings_fault::bad_value:
+        break;
+    }
+    return place + "bad value, expected " + detail;
+}
+
+leaf::result<settings> read_settings(std::istream& in, const std::string& file)
+{
+    // Parse the text.
+    boost::property_tree::ptree tree;
+    try
+    {
+        boost::property_tree::read_ini(in, tree);
+    }
+    catch (const boost::property_tree::ini_parser_error& error)
+    {
+        return leaf::new_error(settings_error{
+            .fault = settings_fault::syntax,
+            .file = file,
+            .section = {},
+            .key = {},
+            .detail = "line " + std::to_string(error.line()) + ": " + error.message()});
+    }
+
+    // Refuse every section and key that the schema does not list.
+    const auto rows = setting_descriptors();
+    for (const auto& [section, keys] : tree)
+    {
+        const bool known = std::any_of(
+            rows.begin(), rows.end(), [&](const auto& row) { return row.section == section; });
+        if (!known || !keys.data().empty())
+        {
+            return leaf::new_error(settings_error{
+                .fault = settings_fault::unknown_section,
+                .file = file,
+                .section = known || keys.data().empty() ? section : "",
+                .key = section,
+                .detail = {}});
+        }
+        for (const auto& [key, value] : keys)
+        {
+            const auto matches = [&](const auto& row)
+            { return row.section == section && row.key == key; };
+            if (std::none_of(rows.begin(), rows.end(), matches))
+            {
+                return leaf::new_error(settings_error{
+                    .fault = settings_fault::unknown_key,
+                    .file = file,
+                    .section = section,
+                    .key = key,
+                    .detail = {}});
+            }
+        }
+    }
+
+    // Check and assign the values.
+    settings values;
+    for (const auto& row : rows)
+    {
+        const auto section = tree.find(std::string(row.section));
+        const auto* keys = section == tree.not_found() ? nullptr : &section->second;
+        const auto found =
+            keys == nullptr
+                ? boost::optional<std::string>()
+                : keys->get_optional<std::string>(
+                      boost::property_tree::ptree::path_type(std::string(row.key), '\0'));
+        if (!found && !row.required)
+        {
+            continue;
+        }
+        const auto value = found ? parse(row, *found) : std::nullopt;
+        if (!value)
+        {
+            return leaf::new_error(settings_error{
+                .fault = found ? settings_fault::bad_value : settings_fault::missing_key,
+                .file = file,
+                .section = std::string(row.section),
+                .key = std::string(row.key),
+                .detail = accepted(row)});
+        }
+        row.assign(values, *value);
+    }
+    return values;
+}
+
+leaf::result<settings> load_settings(const std::string& path)
+{
+    std::ifstream in(path);
+    if (!in)
+    {
+        return leaf::new_error(settings_error{
+            .fault = settings_fault::unreadable,
+            .file = path,
+            .section = {},
+            .key = {},
+            .detail = {}});
+    }
+    return read_settings(in, path);
+}
+
+void print_settings(std::ostream& out, const settings& values)
+{
+    std::string_view section;
+    for (const auto& row : setting_descriptors())
+    {
+        if (row.section != section)
+        {
+            out << (section.empty() ? "[" : "\n[") << row.section << "]\n";
+            section = row.section;
+        }
+        out << "; " << row.help << " Accepts " << accepted(row);
+        out << (row.required ? "; required.\n" : "; default '" + std::string(row.default_text));
+        out << (row.required ? "" : "'.\n");
+        out << row.key << " = " << text_of(row, values) << '\n';
+    }
+}
+
+} // namespace catkintally::runtime
