--- a/packages/runtime/src/settings/settings_loader.cpp
+++ b/packages/runtime/src/settings/settings_loader.cpp
@@ -10,7 +10,6 @@
 #include <charconv>
 #include <fstream>
 #include <optional>
-#include <set>
 
 #include <sys/socket.h>
 
@@ -117,6 +116,51 @@
     return row.required && text.empty() ? std::nullopt : std::optional<setting_value>(text);
 }
 
+/// The first section or key that the schema does not list.
+std::optional<settings_error> find_unknown(const boost::property_tree::ptree& tree)
+{
+    const auto rows = setting_descriptors();
+    for (const auto& section : tree)
+    {
+        // A key before the first section is a child with data and without children.
+        if (!section.second.data().empty())
+        {
+            return settings_error{
+                .fault = settings_fault::unknown_key,
+                .file = {},
+                .section = {},
+                .key = section.first,
+                .detail = {}};
+        }
+        if (std::none_of(
+                rows.begin(), rows.end(),
+                [&](const auto& row) { return row.section == section.first; }))
+        {
+            return settings_error{
+                .fault = settings_fault::unknown_section,
+                .file = {},
+                .section = section.first,
+                .key = {},
+                .detail = {}};
+        }
+        for (const auto& key : section.second)
+        {
+            const auto matches = [&](const auto& row)
+            { return row.section == section.first && row.key == key.first; };
+            if (std::none_of(rows.begin(), rows.end(), matches))
+            {
+                return settings_error{
+                    .fault = settings_fault::unknown_key,
+                    .file = {},
+                    .section = section.first,
+                    .key = key.first,
+                    .detail = {}};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 std::string text_of(const setting_descriptor& row, const settings& values)
 {
     const setting_value value = row.read(values);
@@ -178,39 +222,15 @@
     }
 
     // Refuse every section and key that the schema does not list.
-    const auto rows = setting_descriptors();
-    for (const auto& [section, keys] : tree)
+    if (auto fault = find_unknown(tree))
     {
-        const bool known = std::any_of(
-            rows.begin(), rows.end(), [&](const auto& row) { return row.section == section; });
-        if (!known || !keys.data().empty())
-        {
-            return leaf::new_error(settings_error{
-                .fault = settings_fault::unknown_section,
-                .file = file,
-                .section = known || keys.data().empty() ? section : "",
-                .key = section,
-                .detail = {}});
-        }
-        for (const auto& [key, value] : keys)
-        {
-            const auto matches = [&](const auto& row)
-            { return row.section == section && row.key == key; };
-            if (std::none_of(rows.begin(), rows.end(), matches))
-            {
-                return leaf::new_error(settings_error{
-                    .fault = settings_fault::unknown_key,
-                    .file = file,
-                    .section = section,
-                    .key = key,
-                    .detail = {}});
-            }
-        }
+        fault->file = file;
+        return leaf::new_error(std::move(*fault));
     }
 
     // Check and assign the values.
     settings values;
-    for (const auto& row : rows)
+    for (const auto& row : setting_descriptors())
     {
         const auto section = tree.find(std::string(row.section));
         const auto* keys = section == tree.not_found() ? nullptr : &section->second;
--- a/packages/runtime/tests/settings/settings_loader_test.cpp
+++ b/packages/runtime/tests/settings/settings_loader_test.cpp
@@ -41,6 +41,7 @@
         {{"", ""},
          {"[admin]\naddress = [::1]:80\n", ""},
          {"[nowhere]\na = 1\n", "x.ini: [nowhere]: unknown section"},
+         {"[stop]\nstop_limit_ms = 1\nstop_limit_ms = 2\n", "x.ini: line 8: duplicate key name"},
          {"[stop]\nlimit = 1\n", "x.ini: [stop] limit: unknown key"},
          {"[stop]\nstop_limit_ms = 1s\n",
           "x.ini: [stop] stop_limit_ms: bad value, expected a number of milliseconds from 0 to "
