--- /dev/null
+++ b/packages/core/src/routing/router.cpp
@@ -0,0 +1,92 @@
+#include <catkintally/core/routing/router.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace catkintally::core
+{
+
+namespace
+{
+
+/// A trailing slash makes no difference, so that "/a/" and "/a" select the same requests.
+std::string_view without_trailing_slash(std::string_view path)
+{
+    while (!path.empty() && path.back() == '/')
+    {
+        path.remove_suffix(1);
+    }
+    return path;
+}
+
+} // namespace
+
+std::string normalized_host(std::string_view host)
+{
+    // The colon of a port follows the bracket of an IPv6 address.
+    const auto bracket = host.rfind(']');
+    const auto colon = host.rfind(':');
+    if (colon != std::string_view::npos &&
+        (bracket == std::string_view::npos ? host.find(':') == colon : colon > bracket))
+    {
+        host = host.substr(0, colon);
+    }
+    if (!host.empty() && host.back() == '.')
+    {
+        host.remove_suffix(1);
+    }
+    std::string out(host);
+    std::transform(
+        out.begin(), out.end(), out.begin(),
+        [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return out;
+}
+
+router::router()
+    : router(std::make_shared<const table_snapshot>())
+{
+}
+
+router::router(std::shared_ptr<const table_snapshot> table)
+    : table_(std::move(table))
+{
+    for (const auto& [name, config] : table_->services)
+    {
+        // Of two services with the same host and prefix, the first by name is used, so that all
+        // instances agree.
+        hosts_[normalized_host(config.service.host)].emplace(
+            without_trailing_slash(config.service.path_prefix), &config);
+    }
+}
+
+const service_config* router::find(std::string_view host, std::string_view path) const
+{
+    const std::string exact = normalized_host(host);
+    for (const std::string_view candidate : {std::string_view(exact), std::string_view()})
+    {
+        const auto prefixes = hosts_.find(candidate);
+        if (prefixes == hosts_.end())
+        {
+            continue;
+        }
+        // Cut one segment after the other from the path until a prefix matches.
+        std::string_view rest = without_trailing_slash(path);
+        while (true)
+        {
+            const auto found = prefixes->second.find(rest);
+            if (found != prefixes->second.end())
+            {
+                return found->second;
+            }
+            const auto slash = rest.rfind('/');
+            if (slash == std::string_view::npos)
+            {
+                break;
+            }
+            rest = rest.substr(0, slash);
+        }
+    }
+    return nullptr;
+}
+
+} // namespace catkintally::core
