--- /dev/null
+++ b/packages/entry/include/catkintally/entry/http/http_front.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <catkintally/entry/http/caller_call.hpp>
+#include <catkintally/entry/http/caller_connections.hpp>
+#include <catkintally/runtime/metrics/metrics_registry.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct bufferevent;
+struct evhttp;
+struct evhttp_bound_socket;
+
+namespace catkintally::entry
+{
+
+/// Hooks and limits of the callers' address.
+struct http_front_options
+{
+    /// IP:port; port 0 takes a free one.
+    std::string address = "127.0.0.1:0";
+    caller_limits limits;
+    /// Gets every valid request. The call lives until its reply.
+    std::function<void(caller_call&)> handle;
+    /// False makes the health check fail.
+    std::function<bool()> healthy;
+    /// Next request id, for refusals that come before the path sees the request.
+    std::function<std::string()> next_request_id;
+    runtime::metrics_registry* metrics = nullptr;
+};
+
+/// The callers' address: accepts connections, refuses invalid requests, answers the health check
+/// and hands every other request to the path.
+class http_front
+{
+public:
+    http_front(runtime::event_loop& loop, core::timer_service& timers, http_front_options options);
+    ~http_front();
+    http_front(const http_front&) = delete;
+    http_front& operator=(const http_front&) = delete;
+
+    /// Starts to listen; false if the address cannot be bound.
+    [[nodiscard]] bool listen();
+
+    /// The bound port.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// From now on every response ends its connection.
+    void begin_drain() { draining_ = true; }
+
+    /// Closes the listener and all idle connections.
+    void close_listener();
+
+    /// True while a request is being received or handled, or a response is being written.
+    [[nodiscard]] bool is_busy() const;
+
+    /// Closes connections that have become idle since.
+    void close_idle() { connections_.close_idle(); }
+
+private:
+    void on_request(evhttp_request* request);
+    void retire(std::uint64_t id);
+    [[nodiscard]] std::string refusal_text(request_fault fault);
+
+    runtime::event_loop& loop_;
+    core::timer_service& timers_;
+    http_front_options options_;
+    caller_connections connections_;
+    evhttp* server_ = nullptr;
+    evhttp_bound_socket* bound_ = nullptr;
+    bool draining_ = false;
+    std::uint64_t next_call_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<caller_call>> calls_;
+    std::vector<std::unique_ptr<caller_call>> ended_;
+    core::timer_id end_timer_ = 0;
+};
+
+/// Binds a listening socket to "IP:port" without delay of small segments; -1 on failure.
+[[nodiscard]] int bind_listener(const std::string& address);
+
+/// Port of a bound socket.
+[[nodiscard]] std::uint16_t bound_port(int socket);
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/include/catkintally/entry/http/http_head.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace catkintally::entry
+{
+
+/// Header fields in the order received.
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// Start line and fields of one HTTP/1 message.
+struct http_head
+{
+    std::string start_line;
+    header_list fields;
+};
+
+/// Framing of a message body as its fields declare it.
+struct body_framing
+{
+    /// Number of Content-Length fields, and the value of the last.
+    std::size_t lengths = 0;
+    std::optional<std::uint64_t> length;
+    /// Number of Transfer-Encoding fields, and whether the last is exactly "chunked".
+    std::size_t encodings = 0;
+    bool chunked = false;
+};
+
+/// Parses a head including its empty last line. Nothing for a bare CR or LF, a folded line, a name
+/// that is not a token or a control character in a value: parsers disagree about these, so a
+/// message with one of them could be read differently by the next hop.
+[[nodiscard]] std::optional<http_head> parse_http_head(std::string_view text);
+
+/// Position after the first empty line, or npos while the head is incomplete.
+[[nodiscard]] std::size_t find_head_end(std::string_view text);
+
+/// Reads the framing fields. A Content-Length that is not a plain number counts without a value.
+[[nodiscard]] body_framing framing_of(const header_list& fields);
+
+/// Compares ASCII letters without regard to case.
+[[nodiscard]] bool equal_names(std::string_view left, std::string_view right);
+
+/// Value of the first field with this name, or nullptr.
+[[nodiscard]] const std::string* find_field(const header_list& fields, std::string_view name);
+
+/// True if `name` is a token as HTTP defines it.
+[[nodiscard]] bool is_token(std::string_view name);
+
+/// Text without leading and trailing blanks.
+[[nodiscard]] std::string_view trimmed(std::string_view text);
+
+/// Reads a plain decimal number.
+[[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text);
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/include/catkintally/entry/http/http_path.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <catkintally/core/fleet/admission_gateway.hpp>
+#include <catkintally/core/routing/router.hpp>
+#include <catkintally/entry/http/exchange.hpp>
+#include <catkintally/entry/http/request_check.hpp>
+#include <catkintally/runtime/metrics/metrics_registry.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace catkintally::entry
+{
+
+/// Identity and neighbours of the HTTP path. Pointers must outlive it.
+struct http_path_options
+{
+    std::string instance;
+    std::string failure_domain;
+    std::string deadline_header = "catkintally-deadline-ms";
+    /// High half of all request ids of this process; random per process.
+    std::uint32_t id_prefix = 0;
+    core::timer_service* timers = nullptr;
+    const core::admission_gateway* gateway = nullptr;
+    target_pool* pool = nullptr;
+    runtime::metrics_registry* metrics = nullptr;
+};
+
+/// Takes valid requests from the front: finds the service, reads deadline and idempotency key, and
+/// runs one exchange for each.
+class http_path
+{
+public:
+    explicit http_path(http_path_options options);
+
+    /// Uses a new table revision for the requests that come from now on.
+    void apply_table(std::shared_ptr<const core::table_snapshot> table);
+
+    /// Takes one request; the call is replied to exactly once.
+    void handle(caller_call& call);
+
+    /// Next request id, as text for headers.
+    [[nodiscard]] std::string next_request_id();
+
+    /// Exchanges that have not ended.
+    [[nodiscard]] std::size_t in_flight() const { return running_.size(); }
+
+private:
+    struct service_metrics
+    {
+        runtime::latency_summary* total = nullptr;
+        runtime::latency_summary* added = nullptr;
+        std::map<std::string, runtime::metric_counter*> requests;
+    };
+
+    void refuse(caller_call& call, request_fault fault);
+    void record(const std::string& service, const exchange_summary& summary);
+
+    http_path_options options_;
+    core::router router_;
+    std::uint32_t next_id_ = 0;
+    std::map<core::request_id, std::shared_ptr<exchange>> running_;
+    std::map<std::string, service_metrics> services_;
+};
+
+/// Hash by which a request that crashes targets is recognised; the same on every instance.
+[[nodiscard]] std::uint64_t
+request_fingerprint(const std::string& service, const caller_request& request);
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <catkintally/core/fleet/admission_gateway.hpp>
+#include <catkintally/entry/http/http_head.hpp>
+#include <catkintally/entry/http/shared_body.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkintally::entry
+{
+
+/// Limits of the connections to targets.
+struct target_limits
+{
+    std::size_t connections = 200;
+    core::duration connect_time = std::chrono::seconds(1);
+    core::duration idle_time = std::chrono::seconds(10);
+    std::size_t header_bytes = 65'536;
+    std::size_t body_bytes = 67'108'864;
+};
+
+/// One request as it is sent to a target.
+struct target_request
+{
+    std::string method;
+    /// Path and query.
+    std::string uri;
+    /// Fields without framing; the connection adds that.
+    header_list fields;
+    shared_body body;
+};
+
+/// How a dispatch ended.
+enum class dispatch_result : std::uint8_t
+{
+    /// A whole answer arrived.
+    answered,
+    /// No byte of the request can have reached the target.
+    not_sent,
+    /// Bytes may have reached the target, and no whole, well-framed answer came back.
+    lost
+};
+
+/// End of a dispatch.
+struct dispatch_end
+{
+    dispatch_result result = dispatch_result::lost;
+    /// The answer as received, with its own fields; set if answered.
+    std::shared_ptr<core::stored_answer> answer;
+    /// From the first byte sent to the end.
+    core::duration service_time{};
+    /// For the log: what was wrong.
+    std::string detail;
+};
+
+/// Receives the end of a dispatch.
+using dispatch_hook = std::function<void(dispatch_end)>;
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/include/catkintally/entry/targets/target_pool.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <catkintally/entry/targets/target_connection.hpp>
+#include <catkintally/runtime/metrics/metrics_registry.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace catkintally::entry
+{
+
+/// Identifies one dispatch; 0 is never issued.
+using dispatch_id = std::uint64_t;
+
+/// Connections to all targets, kept for further requests and bounded for each target.
+class target_pool
+{
+public:
+    target_pool(
+        runtime::event_loop& loop,
+        core::timer_service& timers,
+        target_limits limits,
+        runtime::metrics_registry& metrics);
+    ~target_pool();
+    target_pool(const target_pool&) = delete;
+    target_pool& operator=(const target_pool&) = delete;
+
+    /// Sends a request to "IP:port". `done` is called once from the loop, never inline.
+    dispatch_id dispatch(const std::string& address, target_request request, dispatch_hook done);
+
+    /// True if bytes of the request may have reached the target.
+    [[nodiscard]] bool is_sent(dispatch_id id) const;
+
+    /// Ends a dispatch by closing its connection, so that a late answer meets nobody. The hook is
+    /// not called. Unknown ids are ignored.
+    void abandon(dispatch_id id);
+
+    /// Open connections to one target, busy and kept.
+    [[nodiscard]] std::size_t open_connections(const std::string& address) const;
+
+private:
+    using connection_ptr = std::unique_ptr<target_connection>;
+    struct running
+    {
+        std::string address;
+        target_request request;
+        dispatch_hook done;
+        connection_ptr connection;
+        core::timer_id start_timer = 0;
+    };
+    struct target_state
+    {
+        std::size_t busy = 0;
+        std::vector<connection_ptr> kept;
+    };
+
+    void start(dispatch_id id);
+    void end(dispatch_id id, dispatch_end result);
+    connection_ptr take_kept(target_state& state);
+    void retire(connection_ptr connection);
+    void sweep();
+
+    runtime::event_loop& loop_;
+    core::timer_service& timers_;
+    const target_limits limits_;
+    runtime::metric_counter& opened_;
+    runtime::metric_counter& reused_;
+    runtime::metric_counter& closed_;
+    dispatch_id next_id_ = 1;
+    std::map<dispatch_id, running> running_;
+    std::map<std::string, target_state> targets_;
+    std::vector<connection_ptr> retired_;
+    core::timer_id sweep_timer_ = 0;
+    core::timer_id retire_timer_ = 0;
+};
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/programs/catkintally.cpp
@@ -0,0 +1,111 @@
+#include <catkintally/entry/instance.hpp>
+#include <catkintally/runtime/log/event_log.hpp>
+#include <catkintally/runtime/settings/settings_loader.hpp>
+#include <catkintally/runtime/time/libevent_timer_service.hpp>
+
+#include <docopt/docopt.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <string>
+
+namespace
+{
+
+using namespace catkintally;
+
+constexpr const char* usage = R"(catkintally, a load balancer.
+
+Usage:
+  catkintally --config FILE [--check | --print-settings]
+  catkintally --version
+  catkintally --help
+
+Options:
+  --config FILE     Settings file (INI).
+  --check           Check the settings file and exit.
+  --print-settings  Print all settings with their help and exit.
+  --version         Print the version.
+  --help            Print this text.
+
+The exit status is 0 after a planned stop, 1 if an address cannot be bound and 2 if the arguments or
+the settings are refused.
+)";
+
+constexpr const char* version = "catkintally 0.1.0";
+
+/// Runs an instance until SIGTERM or SIGINT.
+int serve(const runtime::settings& values)
+{
+    runtime::event_loop loop;
+    runtime::libevent_timer_service timers(loop);
+    entry::instance self(loop, timers, values, {});
+    if (!self.listen())
+    {
+        return 1;
+    }
+    for (const int number : {SIGTERM, SIGINT})
+    {
+        loop.on_signal(number, [&] { self.stop([&] { loop.stop(); }); });
+    }
+    loop.run();
+    return 0;
+}
+
+int run(const std::map<std::string, docopt::value>& arguments)
+{
+    namespace leaf = boost::leaf;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int>
+        {
+            BOOST_LEAF_AUTO(values, runtime::load_settings(arguments.at("--config").asString()));
+            if (arguments.at("--check").asBool())
+            {
+                std::cout << "settings are valid\n";
+                return 0;
+            }
+            if (arguments.at("--print-settings").asBool())
+            {
+                runtime::print_settings(std::cout, values);
+                return 0;
+            }
+            return serve(values);
+        },
+        [](const runtime::settings_error& error)
+        {
+            std::cerr << error.message() << '\n';
+            return runtime::exit_bad_settings;
+        },
+        [] { return 1; });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    // A caller or target that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    try
+    {
+        return run(docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true));
+    }
+    catch (const docopt::DocoptExitHelp&)
+    {
+        std::cout << usage;
+        return 0;
+    }
+    catch (const docopt::DocoptExitVersion&)
+    {
+        std::cout << version << '\n';
+        return 0;
+    }
+    catch (const docopt::DocoptArgumentError& error)
+    {
+        std::cerr << "catkintally: " << error.what() << "\n\n" << usage;
+        return runtime::exit_bad_settings;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/http/caller_connections.cpp
@@ -0,0 +1,228 @@
+#include <catkintally/entry/http/caller_connections.hpp>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+/// Resolution of the time limits.
+constexpr auto sweep_interval = std::chrono::milliseconds(100);
+
+/// A socket closed with unread input is reset, and the reset can overtake the refusal. So input is
+/// read and dropped for this long.
+constexpr auto linger_time = std::chrono::seconds(1);
+
+} // namespace
+
+struct caller_connections::entry
+{
+    bufferevent* stream = nullptr;
+    std::unique_ptr<head_gate> gate;
+    phase now = phase::idle;
+    core::time_point since{};
+    /// Response bytes that were unsent at the last sweep.
+    std::size_t unsent = 0;
+};
+
+caller_connections::caller_connections(
+    runtime::event_loop& loop,
+    core::timer_service& timers,
+    caller_limits limits,
+    std::function<std::string(request_fault)> refusal)
+    : loop_(loop)
+    , timers_(timers)
+    , limits_(limits)
+    , refusal_(std::move(refusal))
+{
+    sweep();
+}
+
+caller_connections::~caller_connections()
+{
+    timers_.cancel(sweep_timer_);
+    for (auto& [stream, owned] : entries_)
+    {
+        owned->gate.reset();
+        bufferevent_decref(stream);
+    }
+}
+
+bufferevent* caller_connections::create()
+{
+    // evhttp closes the socket itself; the extra reference keeps the stream's address from being
+    // used again while the entry exists.
+    bufferevent* stream = bufferevent_socket_new(loop_.base(), -1, 0);
+    bufferevent_incref(stream);
+    auto added = std::make_unique<entry>();
+    entry& self = *added;
+    self.stream = stream;
+    self.since = timers_.now();
+    self.gate = std::make_unique<head_gate>(
+        bufferevent_get_input(stream),
+        head_gate_options{
+            .max_bytes = limits_.header_bytes,
+            .skip_blank_lines = true,
+            .check = [this, &self](std::string_view head) { return check_head(self, head); },
+            .too_large = [this, &self] { refuse(self, request_fault::head_too_large); }});
+    self.gate->await_head();
+    entries_.emplace(stream, std::move(added));
+    return stream;
+}
+
+head_verdict caller_connections::check_head(entry& checked, std::string_view head)
+{
+    if (const auto fault = check_request_head(head, limits_.body_bytes))
+    {
+        refuse(checked, *fault);
+        return head_verdict::reject;
+    }
+    checked.now = phase::receiving;
+    checked.since = timers_.now();
+    return head_verdict::pass;
+}
+
+void caller_connections::refuse(entry& refused, request_fault fault)
+{
+    // evhttp has no request yet, so the refusal goes to the socket directly. The socket's buffer is
+    // empty but for interim responses, and a refusal is far smaller than it.
+    const int socket = bufferevent_getfd(refused.stream);
+    const std::string text = refusal_(fault);
+    [[maybe_unused]] const auto sent =
+        send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    shutdown(socket, SHUT_WR);
+    refused.gate->discard();
+    refused.now = phase::lingering;
+    refused.since = timers_.now();
+}
+
+void caller_connections::handling(bufferevent* stream)
+{
+    const auto found = entries_.find(stream);
+    if (found != entries_.end())
+    {
+        found->second->now = phase::handling;
+        // A pipelined head must pass the gate, too.
+        found->second->gate->take_back();
+    }
+}
+
+void caller_connections::replied(bufferevent* stream)
+{
+    const auto found = entries_.find(stream);
+    if (found != entries_.end())
+    {
+        found->second->now = phase::idle;
+        found->second->since = timers_.now();
+        found->second->gate->await_head();
+    }
+}
+
+bool caller_connections::is_alive(const entry& checked)
+{
+    // evhttp removes its callbacks when it lets go of a stream.
+    bufferevent_event_cb on_event = nullptr;
+    bufferevent_getcb(checked.stream, nullptr, nullptr, &on_event, nullptr);
+    return on_event != nullptr;
+}
+
+bool caller_connections::is_busy() const
+{
+    for (const auto& [stream, owned] : entries_)
+    {
+        const bool waiting = owned->now == phase::idle && !owned->gate->holds_bytes();
+        const bool written = evbuffer_get_length(bufferevent_get_output(stream)) == 0;
+        if (is_alive(*owned) && !(waiting && written) && owned->now != phase::closing)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void caller_connections::close_idle()
+{
+    for (const auto& [stream, owned] : entries_)
+    {
+        const int socket = bufferevent_getfd(stream);
+        char byte = 0;
+        if (is_alive(*owned) && owned->now == phase::idle && !owned->gate->holds_bytes() &&
+            evbuffer_get_length(bufferevent_get_output(stream)) == 0 &&
+            recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+        {
+            // evhttp reads the end of the connection and frees it.
+            shutdown(socket, SHUT_RDWR);
+            owned->now = phase::closing;
+        }
+    }
+}
+
+void caller_connections::inspect(entry& inspected)
+{
+    const auto now = timers_.now();
+    // A caller that takes bytes of its response is not idle.
+    const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(inspected.stream));
+    if (unsent != std::exchange(inspected.unsent, unsent))
+    {
+        inspected.since = now;
+    }
+    const auto age = now - inspected.since;
+    const int socket = bufferevent_getfd(inspected.stream);
+    switch (inspected.now)
+    {
+    case phase::idle:
+        if (inspected.gate->holds_bytes())
+        {
+            inspected.now = phase::receiving;
+            inspected.since = now;
+        }
+        else if (age > limits_.idle_time)
+        {
+            shutdown(socket, SHUT_RDWR);
+            inspected.now = phase::closing;
+        }
+        break;
+    case phase::receiving:
+        if (age > limits_.request_time)
+        {
+            refuse(inspected, request_fault::slow_caller);
+        }
+        break;
+    case phase::lingering:
+        if (age > linger_time)
+        {
+            shutdown(socket, SHUT_RDWR);
+            inspected.now = phase::closing;
+        }
+        break;
+    case phase::handling:
+    case phase::closing:
+        break;
+    }
+}
+
+void caller_connections::sweep()
+{
+    for (auto at = entries_.begin(); at != entries_.end();)
+    {
+        if (is_alive(*at->second))
+        {
+            inspect(*at->second);
+            ++at;
+            continue;
+        }
+        at->second->gate.reset();
+        bufferevent_decref(at->first);
+        at = entries_.erase(at);
+    }
+    sweep_timer_ = timers_.schedule_after(sweep_interval, [this] { sweep(); });
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/http/exchange.cpp
@@ -0,0 +1,345 @@
+#include <catkintally/entry/http/exchange.hpp>
+#include <catkintally/entry/http/header_rules.hpp>
+#include <catkintally/entry/targets/load_field.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+/// The owner's retry budget bounds retries over all requests; this bounds them for one.
+constexpr std::uint32_t max_sendings = 4;
+
+/// Grants of one request that may lapse before they are used. A grant lapses after a pause of this
+/// process or when its target is taken out meanwhile, so several in a row mean that it is not
+/// ready.
+constexpr std::uint32_t max_lapsed_grants = 3;
+
+bool contains(const std::vector<std::uint16_t>& statuses, std::uint16_t status)
+{
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
+/// Body that shares the ownership of the whole answer.
+shared_body body_of(const std::shared_ptr<const core::stored_answer>& answer)
+{
+    return {answer, &answer->body};
+}
+
+} // namespace
+
+exchange::exchange(
+    const exchange_context& context,
+    caller_call& call,
+    exchange_plan plan,
+    std::function<void(const exchange_summary&)> ended)
+    : context_(context)
+    , call_(&call)
+    , plan_(std::move(plan))
+    , ended_(std::move(ended))
+{
+}
+
+void exchange::start()
+{
+    started_ = context_.timers->now();
+    const std::weak_ptr<exchange> weak = weak_from_this();
+    const auto guarded = [weak](void (exchange::*member)())
+    {
+        return [weak, member]
+        {
+            if (const auto self = weak.lock())
+            {
+                ((*self).*member)();
+            }
+        };
+    };
+    if (plan_.deadline <= core::duration::zero())
+    {
+        refuse({.status = 504, .claim = unsent_claim(), .reason = "deadline_expired"});
+        return;
+    }
+    call_->on_gone(guarded(&exchange::on_gone));
+    deadline_timer_ =
+        context_.timers->schedule_after(plan_.deadline, guarded(&exchange::on_deadline));
+    ask(false);
+}
+
+core::duration exchange::time_left() const
+{
+    return std::max(core::duration::zero(), plan_.deadline - (context_.timers->now() - started_));
+}
+
+core::run_claim exchange::unsent_claim() const
+{
+    // An earlier request with the same key may have run; only the owner can rule that out.
+    const bool keyed = !plan_.request.key.empty();
+    return maybe_ran_ ? core::run_claim::unknown
+           : keyed    ? core::run_claim::attempt_not_run
+                      : core::run_claim::not_run;
+}
+
+void exchange::ask(bool retry)
+{
+    asking_ = true;
+    plan_.request.retry = retry;
+    plan_.request.deadline_left = time_left();
+    context_.gateway->ask(
+        plan_.request,
+        [weak = weak_from_this()](const core::admission_answer& answer)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->on_answer(answer);
+            }
+        });
+}
+
+void exchange::on_answer(const core::admission_answer& answer)
+{
+    assert(asking_);
+    asking_ = false;
+    if (answer.code == core::decision_code::granted)
+    {
+        dispatch(answer);
+        return;
+    }
+    if (answer.code == core::decision_code::key_already_run && answer.replay)
+    {
+        forward(*answer.replay, body_of(answer.replay), wire::EnumNamedecision_code(answer.code));
+        return;
+    }
+    if (unrun_answer_ && !maybe_ran_)
+    {
+        // A target's own refusal says more than the missing place for a retry.
+        forward_unrun(unrun_answer_);
+        return;
+    }
+    refuse(refusal_for(answer, maybe_ran_));
+}
+
+void exchange::dispatch(const core::admission_answer& answer)
+{
+    target_ = answer.target;
+    if (time_left() < std::chrono::milliseconds(1))
+    {
+        // The deadline's timer is due.
+        complete(core::completion_outcome::not_run, {});
+        refuse({.status = 504, .claim = unsent_claim(), .reason = "deadline_expired"});
+        return;
+    }
+    // Nothing may come between this check and the sending but the connection itself.
+    if (!context_.gateway->may_send(plan_.request.id))
+    {
+        complete(core::completion_outcome::not_run, {});
+        if (++lapsed_grants_ >= max_lapsed_grants)
+        {
+            refuse(
+                {.status = 503,
+                 .claim = unsent_claim(),
+                 .reason = "grant_lapsed",
+                 .retry_after = std::chrono::seconds(1)});
+            return;
+        }
+        ask(plan_.request.retry);
+        return;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left());
+    const caller_request& request = call_->request();
+    ++summary_.sendings;
+    dispatch_ = context_.pool->dispatch(
+        answer.address,
+        target_request{
+            .method = request.method,
+            .uri = request.uri,
+            .fields = forwarded_request_fields(
+                request.fields, {.deadline_header = context_.deadline_header,
+                                 .deadline_left = std::to_string(left.count()),
+                                 .request_id = plan_.request_id,
+                                 .caller_address = request.address}),
+            .body = request.body},
+        [weak = weak_from_this()](const dispatch_end& end)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->on_end(end);
+            }
+        });
+}
+
+void exchange::on_end(const dispatch_end& end)
+{
+    dispatch_ = 0;
+    switch (end.result)
+    {
+    case dispatch_result::not_sent:
+        complete(core::completion_outcome::not_run, end);
+        try_again(
+            {.status = 503,
+             .claim = unsent_claim(),
+             .reason = "target_unreachable",
+             .retry_after = std::chrono::seconds(1)});
+        return;
+    case dispatch_result::lost:
+        maybe_ran_ = true;
+        complete(core::completion_outcome::connection_lost, end);
+        if (plan_.request.idempotent)
+        {
+            try_again({.status = 502, .claim = unsent_claim(), .reason = "connection_lost"});
+            return;
+        }
+        refuse({.status = 502, .claim = unsent_claim(), .reason = "connection_lost"});
+        return;
+    case dispatch_result::answered:
+        break;
+    }
+
+    // The target refused the request without running it.
+    if (contains(plan_.not_run_statuses, end.answer->status))
+    {
+        complete(core::completion_outcome::not_run, end);
+        unrun_answer_ = end.answer;
+        try_again({.status = 502, .claim = unsent_claim(), .reason = "target_refused"});
+        return;
+    }
+    summary_.at_target = end.service_time;
+    const bool failed = end.answer->status >= 500;
+    complete(
+        failed ? core::completion_outcome::answered_error : core::completion_outcome::answered, end,
+        plan_.request.key.empty() ? nullptr : end.answer);
+    forward(*end.answer, body_of(end.answer), nullptr);
+}
+
+void exchange::try_again(const refusal& otherwise)
+{
+    if (!gone_ && summary_.sendings < max_sendings && time_left() > core::duration::zero())
+    {
+        plan_.request.excluded_targets.push_back(target_);
+        ask(true);
+        return;
+    }
+    if (unrun_answer_ && !maybe_ran_)
+    {
+        forward_unrun(unrun_answer_);
+        return;
+    }
+    refuse(otherwise);
+}
+
+void exchange::on_deadline()
+{
+    deadline_timer_ = 0;
+    if (asking_)
+    {
+        asking_ = false;
+        context_.gateway->cancel(plan_.request.id);
+    }
+    else if (dispatch_ != 0)
+    {
+        const bool sent = context_.pool->is_sent(dispatch_);
+        context_.pool->abandon(std::exchange(dispatch_, 0));
+        maybe_ran_ = maybe_ran_ || sent;
+        complete(
+            sent ? core::completion_outcome::timed_out : core::completion_outcome::not_run,
+            {.answer = {}, .service_time = plan_.deadline, .detail = {}});
+    }
+    refuse({.status = 504, .claim = unsent_claim(), .reason = "deadline_expired"});
+}
+
+void exchange::on_gone()
+{
+    gone_ = true;
+    if (asking_)
+    {
+        asking_ = false;
+        context_.gateway->cancel(plan_.request.id);
+    }
+    else
+    {
+        const bool sent = context_.pool->is_sent(dispatch_);
+        if (sent && !plan_.request.idempotent)
+        {
+            // It may be running: its end, and the answer of a keyed request, still count.
+            return;
+        }
+        context_.pool->abandon(std::exchange(dispatch_, 0));
+        maybe_ran_ = maybe_ran_ || sent;
+        complete(
+            sent ? core::completion_outcome::cancelled : core::completion_outcome::not_run, {});
+    }
+    refuse({.status = 503, .claim = unsent_claim(), .reason = "caller_gone"});
+}
+
+void exchange::complete(
+    core::completion_outcome outcome,
+    const dispatch_end& end,
+    std::shared_ptr<const core::stored_answer> stored)
+{
+    context_.gateway->complete(
+        {.id = plan_.request.id,
+         .service = plan_.request.service,
+         .target = target_,
+         .outcome = outcome,
+         .status = end.answer ? end.answer->status : std::uint16_t{0},
+         .service_time = end.service_time,
+         .load = end.answer ? load_of(end.answer->headers) : std::nullopt},
+        std::move(stored));
+}
+
+void exchange::refuse(const refusal& refused)
+{
+    // 503 tells clients that nothing ran.
+    refusal checked = refused;
+    if (checked.claim == core::run_claim::unknown && checked.status == 503)
+    {
+        checked.status = 502;
+    }
+    finish(checked.status, checked.reason, make_reply(checked, plan_.request_id));
+}
+
+void exchange::forward(const core::stored_answer& answer, shared_body body, const char* reason)
+{
+    const bool keep_length = call_->request().method == "HEAD" || answer.status == 304;
+    caller_reply response{
+        .status = answer.status,
+        .fields = forwarded_response_fields(answer.headers, keep_length),
+        .body = std::move(body)};
+    if (reason != nullptr)
+    {
+        add_claim(response.fields, core::run_claim::already_run, reason);
+    }
+    response.fields.emplace_back(request_id_header, plan_.request_id);
+    finish(answer.status, reason == nullptr ? "answered" : reason, response);
+}
+
+void exchange::forward_unrun(const std::shared_ptr<const core::stored_answer>& answer)
+{
+    const bool keep_length = call_->request().method == "HEAD" || answer->status == 304;
+    caller_reply response{
+        .status = answer->status,
+        .fields = forwarded_response_fields(answer->headers, keep_length),
+        .body = body_of(answer)};
+    add_claim(response.fields, unsent_claim(), "target_refused");
+    response.fields.emplace_back(request_id_header, plan_.request_id);
+    finish(answer->status, "target_refused", response);
+}
+
+void exchange::finish(std::uint16_t status, std::string reason, const caller_reply& response)
+{
+    context_.timers->cancel(std::exchange(deadline_timer_, 0));
+    summary_.status = status;
+    summary_.reason = std::move(reason);
+    summary_.total = context_.timers->now() - started_;
+    caller_call* call = std::exchange(call_, nullptr);
+    call->reply(response);
+    // The owner may destroy this object.
+    const auto ended = std::move(ended_);
+    ended(summary_);
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/http/http_head.cpp
@@ -0,0 +1,151 @@
+#include <catkintally/entry/http/http_head.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool is_field_text(std::string_view text)
+{
+    return std::none_of(
+        text.begin(), text.end(),
+        [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
+}
+
+} // namespace
+
+bool equal_names(std::string_view left, std::string_view right)
+{
+    return std::equal(
+        left.begin(), left.end(), right.begin(), right.end(),
+        [](char a, char b) { return lower(a) == lower(b); });
+}
+
+const std::string* find_field(const header_list& fields, std::string_view name)
+{
+    const auto found = std::find_if(
+        fields.begin(), fields.end(),
+        [name](const auto& field) { return equal_names(field.first, name); });
+    return found == fields.end() ? nullptr : &found->second;
+}
+
+bool is_token(std::string_view name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(
+                                name.begin(), name.end(),
+                                [&](char c)
+                                {
+                                    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+                                           (c >= 'A' && c <= 'Z') ||
+                                           marks.find(c) != std::string_view::npos;
+                                });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+    {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") + 1 - first);
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, number);
+    if (error != std::errc() || end != last)
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::size_t find_head_end(std::string_view text)
+{
+    for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1))
+    {
+        const auto rest = text.substr(at + 1);
+        if (rest.starts_with('\n'))
+        {
+            return at + 2;
+        }
+        if (rest.starts_with("\r\n"))
+        {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+std::optional<http_head> parse_http_head(std::string_view text)
+{
+    http_head head;
+    while (true)
+    {
+        const auto end = text.find("\r\n");
+        if (end == std::string_view::npos)
+        {
+            return std::nullopt;
+        }
+        const auto line = text.substr(0, end);
+        text.remove_prefix(end + 2);
+        if (line.empty())
+        {
+            break;
+        }
+        if (!is_field_text(line))
+        {
+            return std::nullopt;
+        }
+        if (head.start_line.empty())
+        {
+            head.start_line = line;
+            continue;
+        }
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || !is_token(line.substr(0, colon)))
+        {
+            return std::nullopt;
+        }
+        head.fields.emplace_back(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+    }
+    if (head.start_line.empty() || !text.empty())
+    {
+        return std::nullopt;
+    }
+    return head;
+}
+
+body_framing framing_of(const header_list& fields)
+{
+    body_framing framing;
+    for (const auto& [name, value] : fields)
+    {
+        if (equal_names(name, "Content-Length"))
+        {
+            ++framing.lengths;
+            framing.length = parse_number(value);
+        }
+        else if (equal_names(name, "Transfer-Encoding"))
+        {
+            ++framing.encodings;
+            framing.chunked = equal_names(value, "chunked");
+        }
+    }
+    return framing;
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/http/request_check.cpp
@@ -0,0 +1,183 @@
+#include <catkintally/entry/http/http_head.hpp>
+#include <catkintally/entry/http/request_check.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+struct fault_entry
+{
+    request_fault fault;
+    std::uint16_t status;
+    std::string_view name;
+};
+
+constexpr auto fault_entries = std::to_array<fault_entry>(
+    {{request_fault::malformed, 400, "malformed"},
+     {request_fault::head_too_large, 431, "head_too_large"},
+     {request_fault::body_too_large, 413, "body_too_large"},
+     {request_fault::conflicting_length, 400, "conflicting_length"},
+     {request_fault::body_not_accepted, 400, "body_not_accepted"},
+     {request_fault::unknown_encoding, 501, "unknown_encoding"},
+     {request_fault::unknown_method, 501, "unknown_method"},
+     {request_fault::method_not_allowed, 405, "method_not_allowed"},
+     {request_fault::unknown_version, 505, "unknown_version"},
+     {request_fault::unknown_expectation, 417, "unknown_expectation"},
+     {request_fault::slow_caller, 408, "slow_caller"},
+     {request_fault::bad_deadline, 400, "bad_deadline"},
+     {request_fault::bad_key, 400, "bad_key"},
+     {request_fault::no_service, 404, "no_service"}});
+
+const fault_entry& entry_of(request_fault fault)
+{
+    return *std::find_if(
+        fault_entries.begin(), fault_entries.end(),
+        [fault](const fault_entry& entry) { return entry.fault == fault; });
+}
+
+template <std::size_t size>
+bool contains(const std::array<std::string_view, size>& names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+constexpr std::array<std::string_view, 3> methods_with_body = {"POST", "PUT", "PATCH"};
+constexpr std::array<std::string_view, 4> methods_without_body = {
+    "GET", "HEAD", "DELETE", "OPTIONS"};
+constexpr std::array<std::string_view, 2> refused_methods = {"CONNECT", "TRACE"};
+
+std::optional<request_fault>
+check_framing(const header_list& fields, bool body_allowed, bool old_version, std::uint64_t limit)
+{
+    const body_framing framing = framing_of(fields);
+    if (framing.lengths > 1 || framing.encodings > 1 ||
+        (framing.lengths > 0 && (framing.encodings > 0 || !framing.length)))
+    {
+        return request_fault::conflicting_length;
+    }
+    if (framing.encodings > 0 && (!framing.chunked || old_version))
+    {
+        return request_fault::unknown_encoding;
+    }
+    const std::uint64_t length = framing.length.value_or(0);
+    if (!body_allowed && (framing.chunked || length > 0))
+    {
+        // evhttp reads no body for these methods and would take it for the next request.
+        return request_fault::body_not_accepted;
+    }
+    if (length > limit)
+    {
+        return request_fault::body_too_large;
+    }
+    return std::nullopt;
+}
+
+bool is_valid_uri(std::string_view uri)
+{
+    const bool printable = std::all_of(
+        uri.begin(), uri.end(),
+        [](unsigned char c) { return c > ' ' && c < 0x7f && c != '#' && c != '\\'; });
+    if (!printable)
+    {
+        return false;
+    }
+    constexpr std::string_view scheme = "http://";
+    if (equal_names(uri.substr(0, scheme.size()), scheme))
+    {
+        const auto slash = uri.find('/', scheme.size());
+        uri = slash == std::string_view::npos ? "/" : uri.substr(slash);
+    }
+    return uri.starts_with('/') && !has_dot_segments(uri.substr(0, uri.find('?')));
+}
+
+} // namespace
+
+std::uint16_t fault_status(request_fault fault)
+{
+    return entry_of(fault).status;
+}
+
+std::string_view fault_name(request_fault fault)
+{
+    return entry_of(fault).name;
+}
+
+bool has_dot_segments(std::string_view path)
+{
+    std::string plain;
+    for (std::size_t i = 0; i < path.size(); ++i)
+    {
+        const bool dot = equal_names(path.substr(i, 3), "%2e");
+        plain += dot ? '.' : path[i];
+        i += dot ? 2 : 0;
+    }
+    plain += '/';
+    return plain.find("/./") != std::string::npos || plain.find("/../") != std::string::npos;
+}
+
+std::optional<request_fault> check_request_head(std::string_view text, std::uint64_t max_body_bytes)
+{
+    const auto head = parse_http_head(text);
+    if (!head)
+    {
+        return request_fault::malformed;
+    }
+
+    // The request line has exactly three parts.
+    const std::string_view line = head->start_line;
+    const auto first = line.find(' ');
+    const auto second = first == std::string_view::npos ? first : line.find(' ', first + 1);
+    if (second == std::string_view::npos)
+    {
+        return request_fault::malformed;
+    }
+    const auto method = line.substr(0, first);
+    const auto uri = line.substr(first + 1, second - first - 1);
+    const auto version = line.substr(second + 1);
+    if (!is_token(method) || !version.starts_with("HTTP/"))
+    {
+        return request_fault::malformed;
+    }
+    if (version != "HTTP/1.1" && version != "HTTP/1.0")
+    {
+        return request_fault::unknown_version;
+    }
+    const bool old_version = version == "HTTP/1.0";
+    if (contains(refused_methods, method))
+    {
+        return request_fault::method_not_allowed;
+    }
+    const bool body_allowed = contains(methods_with_body, method);
+    if (!body_allowed && !contains(methods_without_body, method))
+    {
+        return request_fault::unknown_method;
+    }
+    if (!is_valid_uri(uri))
+    {
+        return request_fault::malformed;
+    }
+
+    // One Host, a known expectation and an unambiguous body.
+    std::size_t hosts = 0;
+    for (const auto& [name, value] : head->fields)
+    {
+        hosts += equal_names(name, "Host") ? 1 : 0;
+        if (equal_names(name, "Expect") && !equal_names(value, "100-continue"))
+        {
+            return request_fault::unknown_expectation;
+        }
+    }
+    if (hosts > 1 || (hosts == 0 && !old_version))
+    {
+        return request_fault::malformed;
+    }
+    return check_framing(head->fields, body_allowed, old_version, max_body_bytes);
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/http/response_check.cpp
@@ -0,0 +1,65 @@
+#include <catkintally/entry/http/http_head.hpp>
+#include <catkintally/entry/http/response_check.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace catkintally::entry
+{
+
+std::string_view verdict_name(response_verdict verdict)
+{
+    constexpr auto names = std::to_array<std::string_view>(
+        {"final_head", "interim", "malformed", "conflicting_length", "length_with_encoding",
+         "unknown_encoding", "close_delimited", "unexpected_upgrade"});
+    return names.at(static_cast<std::size_t>(verdict));
+}
+
+response_verdict check_response_head(std::string_view text, bool head_request)
+{
+    const auto head = parse_http_head(text);
+    if (!head)
+    {
+        return response_verdict::malformed;
+    }
+
+    // The status line: "HTTP/1.x NNN" and an optional reason.
+    const std::string_view line = head->start_line;
+    const bool version = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
+    const auto status = version ? parse_number(line.substr(9, 3)) : std::nullopt;
+    if (!status || *status < 100 || *status > 599 || (line.size() > 12 && line[12] != ' '))
+    {
+        return response_verdict::malformed;
+    }
+    if (*status == 101)
+    {
+        return response_verdict::unexpected_upgrade;
+    }
+    if (*status < 200)
+    {
+        return response_verdict::interim;
+    }
+
+    // The end of the body must be known before it is read.
+    const body_framing framing = framing_of(head->fields);
+    if (framing.lengths > 1 || (framing.lengths == 1 && !framing.length))
+    {
+        return response_verdict::conflicting_length;
+    }
+    if (framing.lengths > 0 && framing.encodings > 0)
+    {
+        return response_verdict::length_with_encoding;
+    }
+    if (framing.encodings > 1 || (framing.encodings == 1 && !framing.chunked))
+    {
+        return response_verdict::unknown_encoding;
+    }
+    const bool bodiless = head_request || *status == 204 || *status == 304;
+    if (!bodiless && framing.lengths == 0 && framing.encodings == 0)
+    {
+        return response_verdict::close_delimited;
+    }
+    return response_verdict::final_head;
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/instance.cpp
@@ -0,0 +1,217 @@
+#include <catkintally/entry/instance.hpp>
+#include <catkintally/runtime/log/event_log.hpp>
+
+#include <chrono>
+#include <memory>
+#include <random>
+#include <utility>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// How often a stopping instance checks whether everything in flight has ended.
+constexpr auto idle_check_interval = milliseconds(10);
+
+/// Gateway of an instance without a fleet.
+core::admission_gateway or_refusals(core::admission_gateway gateway)
+{
+    if (!gateway.ask)
+    {
+        // The default answer is a refusal without an owner's confirmation.
+        gateway.ask = [](const auto&, const auto& answer)
+        {
+            core::admission_answer refused;
+            refused.code = core::decision_code::refused_not_ready;
+            answer(std::move(refused));
+        };
+        gateway.cancel = [](core::request_id) {};
+        gateway.may_send = [](core::request_id) { return false; };
+        gateway.complete = [](const auto&, const auto&) {};
+    }
+    return gateway;
+}
+
+target_limits limits_of(const runtime::targets_settings& values)
+{
+    return {
+        .connections = values.connections,
+        .connect_time = milliseconds(values.connect_time_ms),
+        .idle_time = milliseconds(values.idle_time_ms),
+        .header_bytes = values.header_bytes,
+        .body_bytes = values.body_bytes};
+}
+
+/// Calls `done` once, when told so or after `limit`, whichever comes first.
+std::function<void()>
+call_within(core::timer_service& timers, core::duration limit, std::function<void()> done)
+{
+    auto shared = std::make_shared<std::function<void()>>(std::move(done));
+    const auto once = [shared]
+    {
+        if (auto call = std::exchange(*shared, nullptr))
+        {
+            call();
+        }
+    };
+    timers.schedule_after(limit, once);
+    return once;
+}
+
+} // namespace
+
+instance::instance(
+    runtime::event_loop& loop,
+    core::timer_service& timers,
+    const runtime::settings& values,
+    instance_hooks hooks)
+    : timers_(timers)
+    , settings_(values)
+    , hooks_(std::move(hooks))
+    , pool_(loop, timers, limits_of(values.targets), metrics_)
+    , path_(http_path_options{
+          .instance = values.instance.id,
+          .failure_domain = values.instance.failure_domain,
+          .deadline_header = values.callers.deadline_header,
+          .id_prefix = std::random_device()(),
+          .timers = &timers,
+          .gateway = &hooks_.gateway,
+          .pool = &pool_,
+          .metrics = &metrics_})
+    , front_(
+          loop,
+          timers,
+          http_front_options{
+              .address = values.callers.address,
+              .limits =
+                  {.header_bytes = values.callers.header_bytes,
+                   .body_bytes = values.callers.body_bytes,
+                   .idle_time = milliseconds(values.callers.idle_time_ms),
+                   .request_time = milliseconds(values.callers.request_time_ms)},
+              .handle = [this](caller_call& call) { path_.handle(call); },
+              .healthy = [this] { return is_healthy(); },
+              .next_request_id = [this] { return path_.next_request_id(); },
+              .metrics = &metrics_})
+    , admin_(loop, metrics_, [this] { return is_healthy(); })
+    , self_(std::make_shared<instance*>(this))
+{
+    hooks_.gateway = or_refusals(std::move(hooks_.gateway));
+    add_dump();
+}
+
+instance::~instance()
+{
+    *self_ = nullptr;
+}
+
+bool instance::listen()
+{
+    for (const bool callers : {true, false})
+    {
+        const std::string& address = callers ? settings_.callers.address : settings_.admin.address;
+        if (!(callers ? front_.listen() : admin_.listen(address)))
+        {
+            log_event(runtime::event_id::listen_failed, {{"address", address}});
+            return false;
+        }
+    }
+    log_event(
+        runtime::event_id::process_started, {{"instance", settings_.instance.id},
+                                             {"callers_port", std::to_string(front_.port())},
+                                             {"admin_port", std::to_string(admin_.port())}});
+    return true;
+}
+
+void instance::apply_table(std::shared_ptr<const core::table_snapshot> table)
+{
+    revision_ = table->revision;
+    path_.apply_table(std::move(table));
+}
+
+bool instance::is_healthy() const
+{
+    return !stopping_ && hooks_.joined();
+}
+
+void instance::stop(std::function<void()> stopped)
+{
+    if (stopping_)
+    {
+        return;
+    }
+    log_event(runtime::event_id::process_stopping);
+    stopping_ = true;
+    stopped_ = std::move(stopped);
+    front_.begin_drain();
+
+    // The listener stays open until the platform's balancer has seen the failing health check and
+    // the fleet knows that this instance leaves. The store may be down; that wait is limited.
+    open_steps_ = 2;
+    const auto step = [self = self_]
+    {
+        if (*self != nullptr)
+        {
+            (*self)->close_when_left();
+        }
+    };
+    timers_.schedule_after(milliseconds(settings_.stop.drain_ms), step);
+    hooks_.leave(call_within(timers_, milliseconds(settings_.stop.stop_limit_ms), step));
+}
+
+void instance::close_when_left()
+{
+    if (--open_steps_ == 0)
+    {
+        front_.close_listener();
+        finish_when_idle();
+    }
+}
+
+void instance::finish_when_idle()
+{
+    if (front_.is_busy() || path_.in_flight() > 0)
+    {
+        timers_.schedule_after(
+            idle_check_interval,
+            [self = self_]
+            {
+                if (*self != nullptr)
+                {
+                    (*self)->front_.close_idle();
+                    (*self)->finish_when_idle();
+                }
+            });
+        return;
+    }
+    hooks_.remove(call_within(
+        timers_, milliseconds(settings_.stop.stop_limit_ms),
+        [self = self_]
+        {
+            if (*self != nullptr)
+            {
+                log_event(runtime::event_id::process_stopped);
+                (*self)->stopped_();
+            }
+        }));
+}
+
+void instance::add_dump()
+{
+    admin_.add_section(
+        "instance",
+        [this]
+        {
+            return boost::json::value{{"id", settings_.instance.id},
+                                      {"failure_domain", settings_.instance.failure_domain},
+                                      {"table_revision", revision_},
+                                      {"joined", hooks_.joined()},
+                                      {"stopping", stopping_},
+                                      {"requests_in_flight", path_.in_flight()}};
+        });
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/targets/load_field.cpp
@@ -0,0 +1,59 @@
+#include <catkintally/entry/http/header_rules.hpp>
+#include <catkintally/entry/targets/load_field.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <string_view>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+bool read_part(std::string_view name, std::string_view value, core::load_report& report)
+{
+    if (name == "phase")
+    {
+        report.cold = value == "cold";
+        report.draining = value == "draining";
+        return report.cold || report.draining || value == "warm";
+    }
+    const auto number = parse_number(value);
+    if (!number || (name != "running" && name != "queued"))
+    {
+        return false;
+    }
+    constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
+    (name == "running" ? report.running : report.queued) =
+        static_cast<std::uint32_t>(std::min(*number, most));
+    return true;
+}
+
+} // namespace
+
+std::optional<core::load_report> load_of(const header_list& fields)
+{
+    const std::string* field = find_field(fields, load_header);
+    if (field == nullptr)
+    {
+        return std::nullopt;
+    }
+    core::load_report report;
+    bool any = false;
+    std::string_view rest = *field;
+    while (!rest.empty())
+    {
+        const auto end = std::min(rest.find(' '), rest.size());
+        const auto part = rest.substr(0, end);
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+        const auto equals = part.find('=');
+        if (equals != std::string_view::npos)
+        {
+            any = read_part(part.substr(0, equals), part.substr(equals + 1), report) || any;
+        }
+    }
+    return any ? std::optional(report) : std::nullopt;
+}
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -0,0 +1,194 @@
+#include <catkintally/entry/targets/target_pool.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace catkintally::entry
+{
+
+target_pool::target_pool(
+    runtime::event_loop& loop,
+    core::timer_service& timers,
+    target_limits limits,
+    runtime::metrics_registry& metrics)
+    : loop_(loop)
+    , timers_(timers)
+    , limits_(limits)
+    , opened_(metrics.counter("catkintally_target_connections_opened_total"))
+    , reused_(metrics.counter("catkintally_target_connections_reused_total"))
+    , closed_(metrics.counter("catkintally_target_connections_closed_total"))
+{
+    sweep();
+}
+
+target_pool::~target_pool()
+{
+    timers_.cancel(sweep_timer_);
+    timers_.cancel(retire_timer_);
+    for (auto& [id, entry] : running_)
+    {
+        timers_.cancel(entry.start_timer);
+    }
+}
+
+dispatch_id
+target_pool::dispatch(const std::string& address, target_request request, dispatch_hook done)
+{
+    const dispatch_id id = next_id_++;
+    running& entry = running_[id];
+    entry.address = address;
+    entry.request = std::move(request);
+    entry.done = std::move(done);
+    start(id);
+    return id;
+}
+
+void target_pool::start(dispatch_id id)
+{
+    running& entry = running_.at(id);
+    target_state& state = targets_[entry.address];
+    entry.connection = take_kept(state);
+    if (!entry.connection && state.busy + state.kept.size() >= limits_.connections)
+    {
+        entry.start_timer = timers_.schedule_after(
+            core::duration::zero(),
+            [this, id]
+            {
+                dispatch_hook done = std::move(running_.at(id).done);
+                running_.erase(id);
+                done(
+                    {.result = dispatch_result::not_sent,
+                     .answer = {},
+                     .detail = "connection limit"});
+            });
+        return;
+    }
+    if (!entry.connection)
+    {
+        opened_.add();
+        entry.connection =
+            std::make_unique<target_connection>(loop_, timers_, limits_, entry.address);
+    }
+    ++state.busy;
+    entry.connection->send(
+        entry.request,
+        [this, id](dispatch_end result)
+        {
+            // A refused connection ends inside send(), so the end is always handed on by a timer.
+            // An abandoned connection may still report before it is destroyed.
+            const auto found = running_.find(id);
+            if (found != running_.end())
+            {
+                found->second.start_timer = timers_.schedule_after(
+                    core::duration::zero(), [this, id, result = std::move(result)]() mutable
+                    { end(id, std::move(result)); });
+            }
+        });
+}
+
+void target_pool::end(dispatch_id id, dispatch_end result)
+{
+    const auto found = running_.find(id);
+    assert(found != running_.end());
+    running entry = std::move(found->second);
+    running_.erase(found);
+    target_state& state = targets_.at(entry.address);
+    --state.busy;
+    if (result.result == dispatch_result::answered && entry.connection->is_reusable())
+    {
+        state.kept.push_back(std::move(entry.connection));
+    }
+    else
+    {
+        retire(std::move(entry.connection));
+    }
+    entry.done(std::move(result));
+}
+
+bool target_pool::is_sent(dispatch_id id) const
+{
+    const auto found = running_.find(id);
+    return found != running_.end() && found->second.connection &&
+           found->second.connection->is_sent();
+}
+
+void target_pool::abandon(dispatch_id id)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end())
+    {
+        return;
+    }
+    timers_.cancel(found->second.start_timer);
+    if (found->second.connection)
+    {
+        --targets_.at(found->second.address).busy;
+        retire(std::move(found->second.connection));
+    }
+    running_.erase(found);
+}
+
+std::size_t target_pool::open_connections(const std::string& address) const
+{
+    const auto found = targets_.find(address);
+    return found == targets_.end() ? 0 : found->second.busy + found->second.kept.size();
+}
+
+target_pool::connection_ptr target_pool::take_kept(target_state& state)
+{
+    // The connection used last is the least likely to be closed by the target meanwhile.
+    while (!state.kept.empty())
+    {
+        connection_ptr connection = std::move(state.kept.back());
+        state.kept.pop_back();
+        const bool fresh = timers_.now() - connection->idle_since() <= limits_.idle_time;
+        if (fresh && connection->is_reusable())
+        {
+            reused_.add();
+            return connection;
+        }
+        retire(std::move(connection));
+    }
+    return nullptr;
+}
+
+void target_pool::retire(connection_ptr connection)
+{
+    // Callbacks of the connection may be on the stack.
+    closed_.add();
+    retired_.push_back(std::move(connection));
+    if (retire_timer_ == 0)
+    {
+        retire_timer_ = timers_.schedule_after(
+            core::duration::zero(),
+            [this]
+            {
+                retire_timer_ = 0;
+                retired_.clear();
+            });
+    }
+}
+
+void target_pool::sweep()
+{
+    for (auto at = targets_.begin(); at != targets_.end();)
+    {
+        auto& kept = at->second.kept;
+        const auto stale = std::partition(
+            kept.begin(), kept.end(),
+            [this](const connection_ptr& connection)
+            {
+                return timers_.now() - connection->idle_since() <= limits_.idle_time &&
+                       connection->is_reusable();
+            });
+        std::for_each(
+            stale, kept.end(),
+            [this](connection_ptr& connection) { retire(std::move(connection)); });
+        kept.erase(stale, kept.end());
+        at = kept.empty() && at->second.busy == 0 ? targets_.erase(at) : std::next(at);
+    }
+    sweep_timer_ = timers_.schedule_after(std::chrono::seconds(1), [this] { sweep(); });
+}
+
+} // namespace catkintally::entry
