--- a/packages/entry/src/http/http_front.cpp
+++ b/packages/entry/src/http/http_front.cpp
@@ -6,6 +6,8 @@
 #include <event2/http.h>
 #include <event2/util.h>
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <netinet/in.h>
@@ -30,13 +32,21 @@
 
 int bind_listener(const std::string& address)
 {
+    // libevent's parser refuses port 0, so the port is read apart.
+    const auto colon = std::min(address.rfind(':'), address.size());
+    const auto port = parse_number(
+        std::string_view(address).substr(colon).substr(colon < address.size() ? 1 : 0));
     sockaddr_storage storage{};
     int length = sizeof storage;
     auto* name = reinterpret_cast<sockaddr*>(&storage);
-    if (evutil_parse_sockaddr_port(address.c_str(), name, &length) != 0)
+    if (!port || *port > std::numeric_limits<std::uint16_t>::max() ||
+        evutil_parse_sockaddr_port(address.substr(0, colon).c_str(), name, &length) != 0)
     {
         return -1;
     }
+    (storage.ss_family == AF_INET6 ? reinterpret_cast<sockaddr_in6*>(&storage)->sin6_port
+                                   : reinterpret_cast<sockaddr_in*>(&storage)->sin_port) =
+        htons(static_cast<std::uint16_t>(*port));
     const int bound = socket(name->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(bound, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
--- /dev/null
+++ b/packages/entry/tests/support/scripted_target.cpp
@@ -0,0 +1,170 @@
+#include "support/scripted_target.hpp"
+
+#include <catkintally/entry/http/http_front.hpp>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <utility>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+/// Length of the first whole request in the text, or 0.
+std::size_t request_length(const std::string& text)
+{
+    const auto head = text.find("\r\n\r\n");
+    if (head == std::string::npos)
+    {
+        return 0;
+    }
+    const auto parsed = parse_http_head(std::string_view(text).substr(0, head + 4));
+    const auto length = parsed ? framing_of(parsed->fields).length.value_or(0) : 0;
+    return text.size() < head + 4 + length ? 0 : head + 4 + length;
+}
+
+} // namespace
+
+scripted_target::scripted_target(runtime::event_loop& loop, target_script used)
+    : script(std::move(used))
+    , loop_(loop)
+{
+    listener_ = evconnlistener_new(
+        loop.base(),
+        [](evconnlistener*, int socket, sockaddr*, int, void* context)
+        { static_cast<scripted_target*>(context)->on_accept(socket); },
+        this, LEV_OPT_CLOSE_ON_FREE, 0, bind_listener("127.0.0.1:0"));
+}
+
+scripted_target::~scripted_target()
+{
+    close_all();
+    evconnlistener_free(listener_);
+}
+
+std::string scripted_target::address() const
+{
+    return "127.0.0.1:" + std::to_string(bound_port(evconnlistener_get_fd(listener_)));
+}
+
+void scripted_target::on_accept(int socket)
+{
+    ++accepted;
+    bufferevent* stream = bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    if (script.close_on_accept)
+    {
+        bufferevent_free(stream);
+        return;
+    }
+    peers_[stream];
+    bufferevent_setcb(
+        stream,
+        [](bufferevent* from, void* context)
+        { static_cast<scripted_target*>(context)->on_data(from); },
+        [](bufferevent* to, void* context)
+        {
+            // Everything written so far has left; the next segment follows.
+            auto* self = static_cast<scripted_target*>(context);
+            const auto found = self->peers_.find(to);
+            if (found != self->peers_.end() && !found->second.unsent.empty())
+            {
+                self->answer(to);
+            }
+        },
+        [](bufferevent* from, short what, void* context)
+        {
+            if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+            {
+                auto* self = static_cast<scripted_target*>(context);
+                ++self->closed_by_peer;
+                self->close(from);
+            }
+        },
+        this);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+}
+
+void scripted_target::on_data(bufferevent* stream)
+{
+    peer& from = peers_.at(stream);
+    begun += from.received.empty() ? 1 : 0;
+    from.received += drain_text(bufferevent_get_input(stream));
+    if (script.close_after_bytes > 0 && from.received.size() >= script.close_after_bytes)
+    {
+        close(stream);
+        return;
+    }
+    const auto length = request_length(from.received);
+    if (length == 0)
+    {
+        return;
+    }
+    ++requests;
+    last_request = from.received.substr(0, length);
+    from.received.erase(0, length);
+    from.held = script.hold;
+    from.unsent = script.answer;
+    if (!from.held)
+    {
+        answer(stream);
+    }
+}
+
+void scripted_target::answer(bufferevent* stream)
+{
+    peer& to = peers_.at(stream);
+    const auto bar = to.unsent.find('|');
+    const std::string segment = to.unsent.substr(0, bar);
+    to.unsent = bar == std::string::npos ? "" : to.unsent.substr(bar + 1);
+    bufferevent_write(stream, segment.data(), segment.size());
+    if (script.close_after && to.unsent.empty())
+    {
+        // libevent freezes the front of a socket's output buffer outside its own write.
+        evbuffer_unfreeze(bufferevent_get_output(stream), 1);
+        evbuffer_write(bufferevent_get_output(stream), bufferevent_getfd(stream));
+        close(stream);
+    }
+}
+
+void scripted_target::release()
+{
+    script.hold = false;
+    const auto peers = peers_;
+    for (const auto& [stream, from] : peers)
+    {
+        if (from.held)
+        {
+            peers_.at(stream).held = false;
+            answer(stream);
+        }
+    }
+}
+
+void scripted_target::send_all(const std::string& text)
+{
+    for (const auto& [stream, from] : peers_)
+    {
+        bufferevent_write(stream, text.data(), text.size());
+    }
+}
+
+void scripted_target::close_all()
+{
+    while (!peers_.empty())
+    {
+        close(peers_.begin()->first);
+    }
+}
+
+void scripted_target::close(bufferevent* stream)
+{
+    peers_.erase(stream);
+    bufferevent_free(stream);
+}
+
+} // namespace catkintally::entry
