--- a/packages/entry/include/catkintally/entry/http/caller_connections.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connections.hpp
@@ -66,6 +66,8 @@
         idle,
         receiving,
         handling,
+        /// To be refused after the response before it is written.
+        refusing,
         /// Refused; waits a moment for the caller to read the refusal.
         lingering,
         closing
@@ -74,6 +76,8 @@
 
     head_verdict check_head(entry& checked, std::string_view head);
     void refuse(entry& refused, request_fault fault);
+    void send_refusal(entry& refused);
+    static void release(entry& released);
     void inspect(entry& inspected);
     void sweep();
     [[nodiscard]] static bool is_alive(const entry& checked);
--- a/packages/entry/src/http/caller_connections.cpp
+++ b/packages/entry/src/http/caller_connections.cpp
@@ -30,6 +30,10 @@
     core::time_point since{};
     /// Response bytes that were unsent at the last sweep.
     std::size_t unsent = 0;
+    /// Fault of a request whose refusal waits for the response before it.
+    request_fault fault = request_fault::malformed;
+    caller_connections* owner = nullptr;
+    evbuffer_cb_entry* output_watch = nullptr;
 };
 
 caller_connections::caller_connections(
@@ -50,20 +54,38 @@
     timers_.cancel(sweep_timer_);
     for (auto& [stream, owned] : entries_)
     {
-        owned->gate.reset();
-        bufferevent_decref(stream);
+        release(*owned);
     }
 }
 
+void caller_connections::release(entry& released)
+{
+    released.gate.reset();
+    evbuffer_remove_cb_entry(bufferevent_get_output(released.stream), released.output_watch);
+    bufferevent_decref(released.stream);
+}
+
 bufferevent* caller_connections::create()
 {
-    // evhttp closes the socket itself; the extra reference keeps the stream's address from being
-    // used again while the entry exists.
-    bufferevent* stream = bufferevent_socket_new(loop_.base(), -1, 0);
+    // The extra reference keeps the stream's address and its socket from being used again while the
+    // entry exists. evhttp shuts the socket down when it lets go; the last reference closes it.
+    bufferevent* stream = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_incref(stream);
     auto added = std::make_unique<entry>();
     entry& self = *added;
     self.stream = stream;
+    self.owner = this;
+    self.output_watch = evbuffer_add_cb(
+        bufferevent_get_output(stream),
+        [](evbuffer* output, const evbuffer_cb_info*, void* context)
+        {
+            auto* watched = static_cast<entry*>(context);
+            if (watched->now == phase::refusing && evbuffer_get_length(output) == 0)
+            {
+                watched->owner->send_refusal(*watched);
+            }
+        },
+        &self);
     self.since = timers_.now();
     self.gate = std::make_unique<head_gate>(
         bufferevent_get_input(stream),
@@ -91,14 +113,25 @@
 
 void caller_connections::refuse(entry& refused, request_fault fault)
 {
-    // evhttp has no request yet, so the refusal goes to the socket directly. The socket's buffer is
-    // empty but for interim responses, and a refusal is far smaller than it.
+    refused.gate->discard();
+    refused.fault = fault;
+    refused.now = phase::refusing;
+    // A pipelined request is refused after the response before it.
+    if (evbuffer_get_length(bufferevent_get_output(refused.stream)) == 0)
+    {
+        send_refusal(refused);
+    }
+}
+
+void caller_connections::send_refusal(entry& refused)
+{
+    // evhttp has no request yet, so the refusal goes to the socket directly. A refusal is far
+    // smaller than the socket's buffer.
     const int socket = bufferevent_getfd(refused.stream);
-    const std::string text = refusal_(fault);
+    const std::string text = refusal_(refused.fault);
     [[maybe_unused]] const auto sent =
         send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     shutdown(socket, SHUT_WR);
-    refused.gate->discard();
     refused.now = phase::lingering;
     refused.since = timers_.now();
 }
@@ -202,6 +235,13 @@
             inspected.now = phase::closing;
         }
         break;
+    case phase::refusing:
+        if (age > limits_.idle_time)
+        {
+            shutdown(socket, SHUT_RDWR);
+            inspected.now = phase::closing;
+        }
+        break;
     case phase::handling:
     case phase::closing:
         break;
@@ -218,8 +258,7 @@
             ++at;
             continue;
         }
-        at->second->gate.reset();
-        bufferevent_decref(at->first);
+        release(*at->second);
         at = entries_.erase(at);
     }
     sweep_timer_ = timers_.schedule_after(sweep_interval, [this] { sweep(); });
--- /dev/null
+++ b/packages/entry/tests/http/caller_side_test.cpp
@@ -0,0 +1,269 @@
+#include "support/path_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace catkintally::entry;
+namespace core = catkintally::core;
+
+namespace
+{
+
+/// Sends raw text and returns everything received until the instance closes the connection.
+std::string send_raw(path_fixture& bench, const std::string& text)
+{
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send(text);
+    bench.run_until([&] { return caller.ended; });
+    return caller.received;
+}
+
+const std::string host = "Host: desk.example\r\n";
+
+} // namespace
+
+// Guards against requests that two parsers read differently, and against callers that get no answer
+// for them or reach a target with them.
+TEST_CASE("invalid requests get a typed answer, reach no target and end the connection")
+{
+    struct row
+    {
+        std::string text;
+        int status;
+        std::string reason;
+    };
+    const auto sample = GENERATE(values<row>({
+        {"POST /a HTTP/1.1\r\n" + host + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", 400,
+         "conflicting_length"},
+        {"POST /a HTTP/1.1\r\n" + host +
+             "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         400, "conflicting_length"},
+        {"POST /a HTTP/1.1\r\n" + host + "Content-Length: +1\r\n\r\nx", 400, "conflicting_length"},
+        {"POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501,
+         "unknown_encoding"},
+        {"POST /a HTTP/1.1\r\n" + host + "Content-Length : 1\r\n\r\nx", 400, "malformed"},
+        {"POST /a HTTP/1.1\r\n" + host + "A: b\r\n c\r\n\r\n", 400, "malformed"},
+        {"POST /a HTTP/1.1\nHost: desk.example\n\n", 400, "malformed"},
+        {"GET /a HTTP/1.1\r\n" + host + host + "\r\n", 400, "malformed"},
+        {"GET /a HTTP/1.1\r\n\r\n", 400, "malformed"},
+        {"GET /a/%2E./b HTTP/1.1\r\n" + host + "\r\n", 400, "malformed"},
+        {"GET a HTTP/1.1\r\n" + host + "\r\n", 400, "malformed"},
+        {"GET /a HTTP/1.1\r\n" + host + "Content-Length: 1\r\n\r\nx", 400, "body_not_accepted"},
+        {"GET /a HTTP/2.0\r\n" + host + "\r\n", 505, "unknown_version"},
+        {"BREW /a HTTP/1.1\r\n" + host + "\r\n", 501, "unknown_method"},
+        {"CONNECT /a HTTP/1.1\r\n" + host + "\r\n", 405, "method_not_allowed"},
+        {"POST /a HTTP/1.1\r\n" + host + "Expect: tea\r\nContent-Length: 1\r\n\r\nx", 417,
+         "unknown_expectation"},
+        {"GET /a HTTP/1.1\r\n" + host + "X: " + std::string(20'000, 'x') + "\r\n\r\n", 431,
+         "head_too_large"},
+        {"POST /a HTTP/1.1\r\n" + host + "Content-Length: 3000000\r\n\r\n" +
+             std::string(100'000, 'x'),
+         413, "body_too_large"},
+        {"POST /a HTTP/1.1\r\n" + host + "Content-Length: 1500000\r\n\r\n" +
+             std::string(1'500'000, 'x'),
+         413, "body_too_large"},
+        {"GET /a HTTP/1.1\r\n" + host + "catkintally-deadline-ms: soon\r\n\r\n", 400,
+         "bad_deadline"},
+        {"POST /a HTTP/1.1\r\n" + host + "Idempotency-Key:\r\nContent-Length: 0\r\n\r\n", 400,
+         "bad_key"},
+        {"POST /a HTTP/1.1\r\n" + host + "Content-Length: 9\r\n\r\nslow", 408, "slow_caller"},
+    }));
+    INFO(sample.text.substr(0, 200));
+    path_fixture bench(
+        [](auto& values)
+        {
+            values.callers.body_bytes = 2'000'000;
+            values.callers.request_time_ms = 1'000;
+        });
+    const std::string response = send_raw(bench, sample.text);
+    CHECK(status_of(response) == sample.status);
+    CHECK(field_of(response, "catkintally-reason") == sample.reason);
+    CHECK(field_of(response, "catkintally-outcome") == "not-run");
+    CHECK(field_of(response, "catkintally-request-id").size() == 16);
+    CHECK(bench.asked.empty());
+}
+
+// Guards against bodies that evhttp itself refuses and that still reach a target.
+TEST_CASE("a request with a broken or endless chunked body reaches no target")
+{
+    const std::string body = GENERATE(
+        std::string("zz\r\nab\r\n0\r\n\r\n"), "3e8\r\n" + std::string(1'000, 'x') + "\r\n3e8\r\n" +
+                                                  std::string(1'000, 'x') + "\r\n0\r\n\r\n");
+    path_fixture bench([](auto& values) { values.callers.body_bytes = 1'500; });
+    const std::string response = send_raw(
+        bench, "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n" + body);
+    CHECK(status_of(response) / 100 == 4);
+    CHECK(bench.asked.empty());
+}
+
+// Guards against a truncated request that is taken for a whole one.
+TEST_CASE("a request whose caller leaves within the body reaches no target")
+{
+    path_fixture bench;
+    {
+        raw_caller caller(bench.loop, bench.self->front().port());
+        caller.send("POST /a HTTP/1.1\r\n" + host + "Content-Length: 9\r\n\r\nhalf");
+        bench.run_until([&] { return bench.self->front().is_busy(); });
+    }
+    bench.run_until([&] { return !bench.self->front().is_busy(); });
+    CHECK(bench.asked.empty());
+}
+
+// Guards against answers that are swapped or lost on one connection, and against a head behind a
+// body that passes unchecked.
+TEST_CASE("pipelined requests are answered in order and each head is checked")
+{
+    path_fixture bench;
+    scripted_target target(bench.loop, {.hold = true});
+    bench.grant({target.address()});
+    raw_caller caller(bench.loop, bench.self->front().port());
+    const std::string chunked = "POST /open/2 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked"
+                                "\r\n\r\n1\r\na|\r\n2\r\nbc\r\n0\r\n\r\n";
+    caller.send(path_fixture::request("POST") + "\r\n" + chunked.substr(0, chunked.find('|')));
+    bench.run_until([&] { return target.requests == 1; });
+    target.script.answer = "HTTP/1.1 201 OK\r\nContent-Length: 1\r\n\r\n2";
+    target.release();
+    bench.run_until([&] { return !caller.received.empty(); });
+    caller.send(chunked.substr(chunked.find('|') + 1) + "BREW / HTTP/1.1\r\n\r\n");
+    bench.run_until([&] { return caller.ended; });
+    CHECK(target.last_request.ends_with("\r\n\r\nabc"));
+    CHECK(field_of(target.last_request, "Content-Length") == "3");
+    std::vector<int> statuses;
+    while (const auto response = caller.take_response())
+    {
+        statuses.push_back(status_of(*response));
+    }
+    CHECK(statuses == std::vector<int>{200, 201, 501});
+}
+
+// Guards against a caller that waits in vain for leave to send its body.
+TEST_CASE("an expectation is met before the body")
+{
+    path_fixture bench;
+    scripted_target target(bench.loop, {});
+    bench.grant({target.address()});
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send(
+        "POST /open HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n" + host + "\r\n");
+    std::optional<std::string> response;
+    bench.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == 100);
+    caller.send("x");
+    bench.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == 200);
+}
+
+// Guards against hop-by-hop fields that pass, and against missing proxy fields.
+TEST_CASE("forwarded fields are those of this hop")
+{
+    path_fixture bench;
+    scripted_target target(
+        bench.loop,
+        {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: X-Own\r\nX-Own: 1\r\n"
+                   "Keep-Alive: a\r\nX-Kept: 1\r\ncatkintally-outcome: not-run\r\n"
+                   "catkintally-load: running=2 queued=3 phase=cold later=1\r\n\r\nok"});
+    bench.grant({target.address()});
+    const std::string response = bench.ask(path_fixture::request(
+        "POST", "Connection: X-Hop, close\r\nX-Hop: 1\r\nTE: trailers\r\nX-Through: 1\r\n"
+                "Via: 1.0 front\r\nForwarded: for=10.0.0.1\r\nExpect: 100-continue\r\n"
+                "catkintally-deadline-ms: 900000\r\ncatkintally-request-id: mine\r\n"));
+    CHECK(status_of(response) == 200);
+
+    const std::string& sent = target.last_request;
+    CHECK(sent.starts_with("POST /pay?x=1 HTTP/1.1\r\n"));
+    for (const char* name : {"X-Hop", "TE", "Expect", "Connection", "Transfer-Encoding"})
+    {
+        INFO(name);
+        CHECK(field_of(sent, name).empty());
+    }
+    CHECK(field_of(sent, "Host") == "desk.example");
+    CHECK(field_of(sent, "X-Through") == "1");
+    CHECK(field_of(sent, "Via") == "1.0 front, 1.1 catkintally");
+    CHECK(field_of(sent, "Forwarded") == "for=10.0.0.1, for=127.0.0.1;proto=http");
+    CHECK(field_of(sent, "catkintally-request-id").size() == 16);
+    // A caller cannot extend the service's deadline.
+    CHECK(std::stoi(field_of(sent, "catkintally-deadline-ms")) <= 10'000);
+    CHECK(sent.ends_with("\r\n\r\nbody"));
+
+    const std::string answer = bench.ask(path_fixture::request("GET"));
+    CHECK(field_of(answer, "X-Kept") == "1");
+    CHECK(field_of(answer, "Via") == "1.1 catkintally");
+    for (const char* name : {"X-Own", "Keep-Alive", "catkintally-load", "catkintally-outcome"})
+    {
+        INFO(name);
+        CHECK(field_of(answer, name).empty());
+    }
+    REQUIRE(bench.completed.back().first.load);
+    CHECK(bench.completed.back().first.load->queued == 3);
+    CHECK(bench.completed.back().first.load->cold);
+}
+
+// Guards against a refusal whose status, claim or waiting time misleads the caller.
+TEST_CASE("refusals of the fleet are typed")
+{
+    struct row
+    {
+        core::decision_code code;
+        core::run_claim claim;
+        int status;
+        std::string outcome;
+    };
+    using core::decision_code;
+    using core::run_claim;
+    const auto sample = GENERATE(values<row>({
+        {decision_code::refused_queue_full, run_claim::not_run, 503, "not-run"},
+        {decision_code::refused_no_owner, run_claim::attempt_not_run, 503, "attempt-not-run"},
+        {decision_code::key_in_progress, run_claim::in_progress, 409, "in-progress"},
+        {decision_code::key_already_run, run_claim::already_run, 409, "already-run"},
+        {decision_code::key_outcome_unknown, run_claim::unknown, 502, "unknown"},
+    }));
+    path_fixture bench;
+    core::admission_answer answer;
+    answer.code = sample.code;
+    answer.claim = sample.claim;
+    answer.retry_after = std::chrono::milliseconds(1'200);
+    bench.answers = {answer};
+    const std::string response = bench.ask(path_fixture::request("POST"));
+    CHECK(status_of(response) == sample.status);
+    CHECK(field_of(response, "catkintally-outcome") == sample.outcome);
+    CHECK(
+        field_of(response, "catkintally-reason") ==
+        catkintally::wire::EnumNamedecision_code(sample.code));
+    CHECK(field_of(response, "Retry-After") == "2");
+    CHECK(bench.completed.empty());
+}
+
+// Guards against a repeated key whose caller does not get the first answer.
+TEST_CASE("a stored answer is replayed whole")
+{
+    path_fixture bench;
+    scripted_target target(
+        bench.loop, {.answer = "HTTP/1.1 201 Made\r\nContent-Length: 2\r\nX-A: 1\r\n\r\nno"});
+    bench.grant({target.address()});
+    const std::string request = path_fixture::request("POST", "Idempotency-Key: k\r\n");
+    CHECK(status_of(bench.ask(request)) == 201);
+    core::admission_answer answer;
+    answer.code = core::decision_code::key_already_run;
+    answer.claim = core::run_claim::already_run;
+    answer.replay = bench.completed.at(0).second;
+    bench.answers = {answer};
+    const std::string response = bench.ask(request);
+    CHECK(status_of(response) == 201);
+    CHECK(body_of(response) == "no");
+    CHECK(field_of(response, "X-A") == "1");
+    CHECK(field_of(response, "catkintally-outcome") == "already-run");
+    CHECK(target.requests == 1);
+}
+
+// Guards against a request for which no service exists that ends a caller's connection, and against
+// a health check that a table without services breaks.
+TEST_CASE("requests without a service and health checks are answered by the instance")
+{
+    path_fixture bench;
+    const std::string missing = bench.ask("GET /none HTTP/1.1\r\nHost: other\r\n\r\n");
+    CHECK(status_of(missing) == 404);
+    CHECK(field_of(missing, "Connection").empty());
+    const std::string health = "GET /catkintally/health HTTP/1.1\r\nHost: x\r\n\r\n";
+    CHECK(status_of(bench.ask(health)) == 200);
+    bench.joined = false;
+    CHECK(status_of(bench.ask(health)) == 503);
+}
--- /dev/null
+++ b/packages/entry/tests/http/interruption_test.cpp
@@ -0,0 +1,181 @@
+#include "support/path_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace catkintally::entry;
+using catkintally::core::completion_outcome;
+
+// Guards against places that stay taken after the caller has left, and against an order that is cut
+// off, or whose answer is lost, because its caller left.
+TEST_CASE("a caller that leaves cancels what may be cancelled")
+{
+    struct row
+    {
+        std::string method;
+        bool granted;
+    };
+    const auto sample =
+        GENERATE(values<row>({{"GET", false}, {"POST", false}, {"GET", true}, {"POST", true}}));
+    const bool order = sample.method == "POST";
+    INFO(sample.method << " granted: " << sample.granted);
+    path_fixture bench;
+    scripted_target target(bench.loop, {.hold = true});
+    if (sample.granted)
+    {
+        bench.grant({target.address()});
+    }
+    {
+        raw_caller caller(bench.loop, bench.self->front().port());
+        caller.send(path_fixture::request(sample.method, order ? "Idempotency-Key: k\r\n" : ""));
+        bench.run_until([&]
+                        { return sample.granted ? target.requests == 1 : !bench.asked.empty(); });
+    }
+    if (!sample.granted)
+    {
+        bench.run_until([&] { return !bench.cancelled.empty(); });
+        CHECK(bench.completed.empty());
+        return;
+    }
+    if (order)
+    {
+        bench.settle();
+        CHECK(target.closed_by_peer == 0);
+        target.release();
+    }
+    bench.run_until([&] { return !bench.completed.empty(); });
+    CHECK(
+        bench.completed[0].first.outcome ==
+        (order ? completion_outcome::answered : completion_outcome::cancelled));
+    CHECK((bench.completed[0].second != nullptr) == order);
+    if (!order)
+    {
+        bench.run_until([&] { return target.closed_by_peer == 1; });
+    }
+    CHECK(bench.cancelled.empty());
+    CHECK(bench.asked.size() == 1);
+}
+
+// Guards against requests that outlive their deadline and against a wrong claim about them.
+TEST_CASE("the deadline ends waiting and dispatch")
+{
+    struct row
+    {
+        std::string deadline;
+        bool granted;
+        std::string extra;
+        std::string outcome;
+    };
+    const auto sample = GENERATE(values<row>(
+        {{"0", true, "", "not-run"},
+         {"30", false, "", "not-run"},
+         {"30", false, "Idempotency-Key: k\r\n", "attempt-not-run"},
+         {"30", true, "", "unknown"}}));
+    path_fixture bench;
+    scripted_target target(bench.loop, {.hold = true});
+    if (sample.granted)
+    {
+        bench.grant({target.address()});
+    }
+    const std::string response = bench.ask(path_fixture::request(
+        "POST", "catkintally-deadline-ms: " + sample.deadline + "\r\n" + sample.extra));
+    CHECK(status_of(response) == 504);
+    CHECK(field_of(response, "catkintally-outcome") == sample.outcome);
+    CHECK(bench.cancelled.size() == (sample.granted ? 0 : 1));
+    if (sample.outcome == "unknown")
+    {
+        REQUIRE(bench.completed.size() == 1);
+        CHECK(bench.completed[0].first.outcome == completion_outcome::timed_out);
+        bench.run_until([&] { return target.closed_by_peer == 1; });
+    }
+}
+
+// Guards against an answer that reaches another caller because its connection was used again.
+TEST_CASE("late and surplus answers meet nobody")
+{
+    path_fixture bench;
+    scripted_target target(bench.loop, {.hold = true});
+    bench.grant({target.address()});
+
+    SECTION("late")
+    {
+        const std::string late =
+            bench.ask(path_fixture::request("POST", "catkintally-deadline-ms: 20\r\n"));
+        CHECK(status_of(late) == 504);
+        target.script = {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "new");
+        CHECK(target.accepted == 2);
+    }
+    SECTION("surplus with the answer")
+    {
+        target.script = {
+            .answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "ok");
+        target.script = {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "new");
+        CHECK(target.accepted == 2);
+    }
+    SECTION("surplus while the connection is kept")
+    {
+        target.script = {};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "ok");
+        target.send_all("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+        const bool seen = GENERATE(true, false);
+        if (seen)
+        {
+            bench.settle();
+        }
+        target.script = {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "new");
+        CHECK(target.accepted == 2);
+    }
+    SECTION("kept connection closed by the target")
+    {
+        target.script = {};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "ok");
+        target.close_all();
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "ok");
+        CHECK(target.accepted == 2);
+        CHECK(target.requests == 2);
+    }
+    SECTION("whole answer")
+    {
+        target.script = {};
+        CHECK(body_of(bench.ask(path_fixture::request("POST"))) == "ok");
+        CHECK(body_of(bench.ask(path_fixture::request("HEAD"))).empty());
+        CHECK(target.accepted == 1);
+    }
+}
+
+// Guards against a target that gets more connections than it can hold.
+TEST_CASE("connections to one target are bounded")
+{
+    path_fixture bench([](auto& values) { values.targets.connections = 1; });
+    scripted_target target(bench.loop, {.hold = true});
+    bench.grant({target.address()});
+    raw_caller first(bench.loop, bench.self->front().port());
+    first.send(path_fixture::request("POST"));
+    bench.run_until([&] { return target.requests == 1; });
+    const std::string second = bench.ask(path_fixture::request("POST"));
+    CHECK(status_of(second) == 503);
+    CHECK(field_of(second, "catkintally-outcome") == "not-run");
+    target.release();
+    bench.run_until([&] { return first.take_response().has_value(); });
+    CHECK(target.accepted == 1);
+}
+
+// Guards against a request that is sent under a grant that is no longer valid.
+TEST_CASE("a lapsed grant is given back and asked for again")
+{
+    path_fixture bench;
+    scripted_target target(bench.loop, {});
+    bench.grant({target.address()});
+    bench.may_send = false;
+    const std::string response = bench.ask(path_fixture::request("POST"));
+    CHECK(status_of(response) == 503);
+    CHECK(field_of(response, "catkintally-outcome") == "not-run");
+    CHECK(bench.asked.size() == 3);
+    CHECK(bench.completed.size() == 3);
+    CHECK_FALSE(bench.asked.back().retry);
+    CHECK(target.accepted == 0);
+}
--- a/packages/entry/tests/support/path_fixture.cpp
+++ b/packages/entry/tests/support/path_fixture.cpp
@@ -7,6 +7,7 @@
 #include <event2/util.h>
 
 #include <chrono>
+#include <csignal>
 
 #include <sys/socket.h>
 
@@ -75,6 +76,8 @@
 
 path_fixture::path_fixture(const std::function<void(runtime::settings&)>& adjust)
 {
+    // As in the program: a peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     values.instance = {.id = "a1", .failure_domain = "east"};
     values.callers.address = "127.0.0.1:0";
     values.admin.address = "127.0.0.1:0";
