--- /dev/null
+++ b/packages/core/tests/table/endpoint_test.cpp
@@ -0,0 +1,34 @@
+#include <catkintally/core/table/endpoint.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace catkintally::core;
+
+// Guards against addresses that only fail when the first connection is made.
+TEST_CASE("only IP addresses with a port are accepted")
+{
+    struct row
+    {
+        const char* text;
+        std::optional<endpoint> expected;
+    };
+    const std::vector<row> rows = {
+        {"127.0.0.1:80", endpoint{"127.0.0.1", 80}},
+        {"[::1]:8080", endpoint{"::1", 8080}},
+        {"127.0.0.1", std::nullopt},
+        {"127.0.0.1:", std::nullopt},
+        {"127.0.0.1:0", std::nullopt},
+        {"127.0.0.1:65536", std::nullopt},
+        {"127.0.0.1:80x", std::nullopt},
+        {"127.0.0.256:80", std::nullopt},
+        {"::1:80", std::nullopt},
+        {"localhost:80", std::nullopt},
+        {"", std::nullopt}};
+    for (const auto& each : rows)
+    {
+        INFO(each.text);
+        const auto parsed = parse_endpoint(each.text);
+        CHECK(parsed == each.expected);
+        CHECK((!parsed || to_string(*parsed) == each.text));
+    }
+}
