Add the client of the platform's object API and instance list

A refused connection counts as unavailable, because the API has not seen the call; a missing or unreadable answer counts as unknown. A watch waits 750 ms by default: a waiting watch costs one read a second in any case, and short waits show more often that the store is heard. Each process bounds its own calls (100 reads and 20 writes a second by default).

--- /dev/null
+++ b/packages/platform/include/catkintally/platform/store/http_object_store.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <catkintally/platform/store/platform_api.hpp>
+
+namespace catkintally::platform
+{
+
+struct http_object_store_options
+{
+    /// How long the API may hold a watch that has no events. A waiting watch costs one call a
+    /// second anyway, so a short wait costs little and shows each second that the store is heard.
+    core::duration watch_wait = std::chrono::milliseconds(750);
+};
+
+/// The platform's object API over HTTP. A watch that ends as `not_found` starts from a version that
+/// the store cannot go back to: list again.
+class http_object_store final : public core::object_store
+{
+public:
+    /// `api` must outlive this object.
+    explicit http_object_store(platform_api& api, const http_object_store_options& options = {})
+        : api_(api)
+        , options_(options)
+    {
+    }
+
+    void get(const std::string& key, result_hook done) override;
+    void list(const std::string& prefix, list_hook done) override;
+    void
+    put(const std::string& key,
+        const std::string& value,
+        std::uint64_t if_version,
+        result_hook done) override;
+    void remove(const std::string& key, std::uint64_t if_version, result_hook done) override;
+    void watch(const std::string& prefix, std::uint64_t from, list_hook done) override;
+
+private:
+    void call_object(api_call request, result_hook done);
+    void call_list(api_call request, list_hook done);
+
+    platform_api& api_;
+    http_object_store_options options_;
+};
+
+} // namespace catkintally::platform
--- /dev/null
+++ b/packages/platform/include/catkintally/platform/store/platform_api.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <catkintally/core/store/object_store.hpp>
+#include <catkintally/platform/store/call_budget.hpp>
+#include <catkintally/runtime/http/http_client.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkintally::platform
+{
+
+/// Kinds of calls, counted apart.
+enum class call_kind : std::uint8_t
+{
+    get,
+    list,
+    put,
+    remove,
+    watch,
+    instances
+};
+
+/// Number of kinds and of statuses, for the arrays that count by them.
+constexpr std::size_t call_kind_count = 6;
+constexpr std::size_t store_status_count = 5;
+
+/// Name of a kind in metrics and logs.
+[[nodiscard]] std::string_view to_string(call_kind kind);
+
+/// Name of a status in metrics, logs and error messages.
+[[nodiscard]] std::string_view to_string(core::store_status status);
+
+struct platform_api_options
+{
+    /// Addresses of the API, all of them serving the same store.
+    std::vector<core::endpoint> addresses;
+    /// Deadline of each call, beyond the waiting time of a watch.
+    core::duration call_deadline = std::chrono::milliseconds(1500);
+    /// This process's bound on calls a second; 0 means none.
+    double reads_per_s = 100;
+    double writes_per_s = 20;
+};
+
+/// One call to the API.
+struct api_call
+{
+    call_kind kind = call_kind::get;
+    runtime::http_method method = runtime::http_method::get;
+    /// Path and query, percent-encoded.
+    std::string target{};
+    std::string body{};
+    /// Time that the API itself may wait before it answers.
+    core::duration api_wait{};
+};
+
+/// Answer to a call; `body` is set for ok and conflict.
+struct api_answer
+{
+    core::store_status status = core::store_status::unknown;
+    std::string body;
+};
+
+/// Calls by kind and result.
+struct api_call_counts
+{
+    std::array<std::array<std::uint64_t, store_status_count>, call_kind_count> results{};
+    /// Calls that were not sent because the process's own budget was spent.
+    std::uint64_t over_budget = 0;
+};
+
+/// Transport to the platform's API: addresses, deadlines, the call budget, counts, and the meaning
+/// of each HTTP result. Use http_object_store and instance_directory for the calls themselves.
+class platform_api
+{
+public:
+    using hook = std::function<void(api_answer)>;
+
+    /// `loop` and `timers` must outlive this object.
+    platform_api(
+        runtime::event_loop& loop, core::timer_service& timers, platform_api_options options);
+
+    /// Starts a call; `done` runs once, from the loop. An address that refuses the connection is
+    /// passed over, because it has not seen the call.
+    void call(api_call request, hook done);
+
+    /// Calls since the start.
+    [[nodiscard]] const api_call_counts& counts() const { return counts_; }
+
+private:
+    void attempt(const std::shared_ptr<api_call>& request, std::size_t failed, hook done);
+    void finish(call_kind kind, api_answer answer, const hook& done);
+    void note_reachable(bool reachable, call_kind kind);
+
+    core::timer_service& timers_;
+    platform_api_options options_;
+    runtime::http_client client_;
+    call_budget reads_;
+    call_budget writes_;
+    std::size_t current_address_ = 0;
+    bool reachable_ = true;
+    api_call_counts counts_;
+    /// Expires with this object; late timers check it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// Percent-encodes everything but unreserved characters and those in `keep`.
+[[nodiscard]] std::string percent_encode(std::string_view text, std::string_view keep = "");
+
+} // namespace catkintally::platform
--- /dev/null
+++ b/packages/platform/src/store/platform_api.cpp
@@ -0,0 +1,178 @@
+#include <catkintally/platform/store/platform_api.hpp>
+
+#include <catkintally/runtime/log/event_log.hpp>
+
+#include <cassert>
+#include <utility>
+
+namespace catkintally::platform
+{
+
+using core::store_status;
+using runtime::http_outcome;
+
+namespace
+{
+
+constexpr std::array<std::string_view, call_kind_count> kind_names = {
+    "get", "list", "put", "remove", "watch", "instances"};
+constexpr std::array<std::string_view, store_status_count> status_names = {
+    "ok", "not_found", "conflict", "unavailable", "unknown"};
+
+bool is_write(call_kind kind)
+{
+    return kind == call_kind::put || kind == call_kind::remove;
+}
+
+store_status status_of(const runtime::http_response& response)
+{
+    if (response.outcome != http_outcome::answered)
+    {
+        return response.outcome == http_outcome::not_connected ? store_status::unavailable
+                                                               : store_status::unknown;
+    }
+    switch (response.status)
+    {
+    case 200:
+        return store_status::ok;
+    case 404:
+    case 410: // a watch from a version that the store cannot go back to
+        return store_status::not_found;
+    case 409:
+        return store_status::conflict;
+    case 503:
+        return store_status::unavailable;
+    default:
+        // A 4xx status says that the call was refused; any other may hide a change that was made.
+        return response.status / 100 == 4 ? store_status::unavailable : store_status::unknown;
+    }
+}
+
+/// True for a refusal that the caller can only repeat in vain.
+bool is_permanent_refusal(const runtime::http_response& response)
+{
+    return response.status / 100 == 4 && response.status != 404 && response.status != 409 &&
+           response.status != 410 && response.status != 429;
+}
+
+} // namespace
+
+std::string_view to_string(call_kind kind)
+{
+    return kind_names.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view to_string(store_status status)
+{
+    return status_names.at(static_cast<std::size_t>(status));
+}
+
+platform_api::platform_api(
+    runtime::event_loop& loop, core::timer_service& timers, platform_api_options options)
+    : timers_(timers)
+    , options_(std::move(options))
+    , client_(loop, timers)
+    , reads_(options_.reads_per_s, timers.now())
+    , writes_(options_.writes_per_s, timers.now())
+{
+    assert(!options_.addresses.empty());
+}
+
+void platform_api::call(api_call request, hook done)
+{
+    auto& budget = is_write(request.kind) ? writes_ : reads_;
+    if (!budget.take(timers_.now()))
+    {
+        ++counts_.over_budget;
+        const auto refuse = [done = std::move(done), alive = std::weak_ptr(alive_)]
+        {
+            if (!alive.expired())
+            {
+                done({.status = store_status::unavailable, .body = ""});
+            }
+        };
+        timers_.schedule_after(core::duration::zero(), refuse);
+        return;
+    }
+    attempt(std::make_shared<api_call>(std::move(request)), 0, std::move(done));
+}
+
+void platform_api::attempt(const std::shared_ptr<api_call>& request, std::size_t failed, hook done)
+{
+    const auto address = current_address_;
+    client_.call(
+        {.address = options_.addresses[address],
+         .method = request->method,
+         .target = request->target,
+         .body = request->body,
+         .deadline = options_.call_deadline + request->api_wait,
+         .idempotent = !is_write(request->kind)},
+        [this, request, failed, address,
+         done = std::move(done)](const runtime::http_response& response)
+        {
+            const auto status = status_of(response);
+            const bool lost =
+                status == store_status::unavailable || status == store_status::unknown;
+            if (lost && response.status != 429 && address == current_address_)
+            {
+                current_address_ = (address + 1) % options_.addresses.size();
+            }
+            if (response.outcome == http_outcome::not_connected &&
+                failed + 1 < options_.addresses.size())
+            {
+                attempt(request, failed + 1, done);
+                return;
+            }
+            if (is_permanent_refusal(response))
+            {
+                runtime::log_event(
+                    runtime::event_id::store_call_refused,
+                    {{"call", std::string(to_string(request->kind))},
+                     {"target", request->target},
+                     {"status", std::to_string(response.status)},
+                     {"response", response.body.substr(0, 200)}});
+            }
+            note_reachable(!lost || response.status / 100 == 4, request->kind);
+            finish(request->kind, {.status = status, .body = response.body}, done);
+        });
+}
+
+void platform_api::finish(call_kind kind, api_answer answer, const hook& done)
+{
+    ++counts_.results.at(static_cast<std::size_t>(kind))
+          .at(static_cast<std::size_t>(answer.status));
+    done(std::move(answer));
+}
+
+// Logs the beginning and the end of an outage, not each failed call.
+void platform_api::note_reachable(bool reachable, call_kind kind)
+{
+    if (std::exchange(reachable_, reachable) == reachable)
+    {
+        return;
+    }
+    runtime::log_event(
+        reachable ? runtime::event_id::store_reachable : runtime::event_id::store_unreachable,
+        {{"call", std::string(to_string(kind))}});
+}
+
+std::string percent_encode(std::string_view text, std::string_view keep)
+{
+    constexpr std::string_view hex = "0123456789ABCDEF";
+    constexpr std::string_view unreserved =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    std::string out;
+    for (const char c : text)
+    {
+        if (unreserved.find(c) != std::string_view::npos || keep.find(c) != std::string_view::npos)
+        {
+            out += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        out += {'%', hex[byte >> 4U], hex[byte & 15U]};
+    }
+    return out;
+}
+
+} // namespace catkintally::platform
