--- a/packages/stand_ins/src/platform/platform_stand_in.cpp
+++ b/packages/stand_ins/src/platform/platform_stand_in.cpp
@@ -21,7 +21,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t max_value_bytes = 1 << 20;
+constexpr std::size_t max_value_bytes = 1'000'000;
 constexpr std::uint64_t max_watch_ms = 60'000;
 
 constexpr std::string_view objects_path = "/v1/objects/";
