Add the table watcher

It follows the store, publishes only higher, checked revisions, and exchanges objects with peers. A refused offer of a peer does not keep the store's own revisions out. A deletion by another tool counts as a revision of its own.

--- /dev/null
+++ b/packages/platform/include/catkintally/platform/table/table_watcher.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <catkintally/core/store/object_store.hpp>
+#include <catkintally/core/table/table_builder.hpp>
+#include <catkintally/core/time/back_off.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace catkintally::platform
+{
+
+/// A revision that was not applied.
+struct table_refusal
+{
+    std::uint64_t revision = 0;
+    std::vector<core::table_error> errors;
+};
+
+struct table_watcher_options
+{
+    /// Both must outlive the watcher.
+    core::object_store* store = nullptr;
+    core::timer_service* timers = nullptr;
+    core::back_off_options back_off{};
+    /// Receives each revision that comes into force. Revisions only rise.
+    std::function<void(std::shared_ptr<const core::table_snapshot>)> publish;
+    /// Told of each revision that is not applied; may be empty.
+    std::function<void(const table_refusal&)> refused{};
+};
+
+/// What became of objects that a peer offered.
+enum class offer_result : std::uint8_t
+{
+    applied,
+    not_newer,
+    refused
+};
+
+/// Follows the table in the store: lists it, then watches it, and publishes each checked revision.
+/// It keeps the last good revision, and takes newer ones from peers while the store is down. Old
+/// answers that arrive late, and a store whose version has gone back, never move it back.
+class table_watcher
+{
+public:
+    explicit table_watcher(table_watcher_options options);
+    table_watcher(const table_watcher&) = delete;
+    table_watcher& operator=(const table_watcher&) = delete;
+    ~table_watcher();
+
+    /// Begins to follow the store.
+    void start();
+
+    /// Takes a peer's objects of revision `revision` if it is newer than the one in force.
+    offer_result offer(std::uint64_t revision, const std::vector<core::store_object>& objects);
+
+    /// Objects of the revision in force, to be offered to peers.
+    [[nodiscard]] std::vector<core::store_object> objects() const;
+
+    /// Revision in force; nothing until the first one is published.
+    [[nodiscard]] std::optional<std::uint64_t> revision() const { return revision_; }
+
+    /// When the newest call that the store has answered was sent.
+    [[nodiscard]] std::optional<core::time_point> last_heard() const { return last_heard_; }
+
+    /// The last refused revision, while no newer one is in force.
+    [[nodiscard]] const std::optional<table_refusal>& refusal() const { return refusal_; }
+
+private:
+    void list();
+    void watch();
+    void retry(void (table_watcher::*next)());
+    void take_list(const core::store_list_result& answer);
+    void take_events(const core::store_list_result& answer);
+    bool accept_version(std::uint64_t version);
+    void apply_latest();
+    bool apply(std::uint64_t revision, const core::table_objects& objects, const char* source);
+    void refuse(std::uint64_t revision, std::vector<core::table_error> errors, const char* source);
+
+    table_watcher_options options_;
+    core::back_off back_off_;
+    core::table_builder builder_;
+    core::timer_id retry_timer_ = 0;
+    /// Newest state of the store that has been seen, good or not.
+    core::table_objects latest_;
+    std::uint64_t store_version_ = 0;
+    std::uint64_t deletion_version_ = 0;
+    bool version_went_back_ = false;
+    /// State in force.
+    core::table_objects in_force_;
+    std::optional<std::uint64_t> revision_;
+    std::optional<table_refusal> refusal_;
+    /// Newest revision that the store has shown and that was refused. A peer's refused offer does
+    /// not count, so that it cannot keep the store's own revisions out.
+    std::optional<std::uint64_t> store_refused_;
+    std::optional<core::time_point> last_heard_;
+    /// Expires with this object; late answers check it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace catkintally::platform
