--- a/packages/core/include/catkintally/core/admission/service_admission.hpp
+++ b/packages/core/include/catkintally/core/admission/service_admission.hpp
@@ -2,23 +2,25 @@
 
 #include <catkintally/core/admission/admission_queue.hpp>
 #include <catkintally/core/admission/completion_report.hpp>
+#include <catkintally/core/admission/grant_book.hpp>
+#include <catkintally/core/admission/probe_planner.hpp>
+#include <catkintally/core/admission/retry_budget.hpp>
 #include <catkintally/core/admission/service_admission_dump.hpp>
 #include <catkintally/core/admission/service_admission_options.hpp>
-#include <catkintally/core/admission/target_admission.hpp>
+#include <catkintally/core/admission/service_time_model.hpp>
+#include <catkintally/core/admission/target_set.hpp>
 #include <catkintally/core/table/table_snapshot.hpp>
 
-#include <map>
-#include <memory>
+#include <optional>
 #include <vector>
 
 namespace catkintally::core
 {
 
-using wire::target_phase;
-
 /// The owner's admission policy for one service. Knows every place of the service in use and
 /// answers each request with a target, later or at once, or with a refusal. Does no input or output
-/// of its own; the same seed and order of events give the same decisions.
+/// of its own; the same seed and order of events give the same decisions. `decide` may call
+/// submit(), cancel() and complete(); the other hooks may only read.
 class service_admission
 {
 public:
@@ -59,25 +61,42 @@
     [[nodiscard]] service_admission_dump dump() const;
 
 private:
-    struct grant
-    {
-        std::string target;
-        time_point expires{};
-    };
-
-    void place_queued();
     void grant_place(const admission_request& request, target_admission& target);
     void refuse(const admission_request& request, decision_code code, duration retry_after);
     target_admission* choose(const admission_request& request);
-    target_admission* find(const std::string& name);
+    [[nodiscard]] choice_input input_for(const admission_request& request) const;
+
+    /// Brings everything that depends on time up to date and places what waits.
+    void update();
+    void expire_places();
+    std::optional<target_admission::place> return_place(request_id id);
+    void refuse_late();
+    void refuse_unplaceable();
+    void place_queued();
+    void send_probes();
+    void arm();
+
+    /// Runs `change` on the target and reports a new phase or limit.
+    template <class change_type>
+    void observe(target_admission& target, change_type change);
 
     service_admission_options options_;
     service_config config_;
-    std::vector<std::unique_ptr<target_admission>> targets_;
+    target_set targets_;
+    target_choice choice_;
     admission_queue queue_;
-    std::map<request_id, grant> grants_;
+    service_time_model times_;
+    retry_budget retries_;
+    crash_guard crashes_;
+    probe_planner probes_;
+    grant_book grants_;
     time_point cold_blocked_until_{};
+    timer_id timer_ = 0;
+    time_point timer_due_{};
     std::array<std::uint64_t, decision_code_count> decisions_{};
+    std::uint64_t ejections_ = 0;
+    std::uint64_t ejections_prevented_ = 0;
+    std::uint64_t places_expired_ = 0;
 };
 
 } // namespace catkintally::core
--- /dev/null
+++ b/packages/core/include/catkintally/core/admission/service_time_model.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <catkintally/core/time/timer_service.hpp>
+
+namespace catkintally::core
+{
+
+/// Moving estimate of how long requests of one service take from grant to completion. The times are
+/// taken as log-normal, because the work of a service has a heavy tail: a fixed multiple of the
+/// mean would either miss slow targets or suspect every long request.
+class service_time_model
+{
+public:
+    /// Learns one completed request.
+    void add(duration elapsed);
+
+    /// True once there are enough completions to judge by.
+    [[nodiscard]] bool ready() const { return count_ >= min_count; }
+
+    /// Share of requests that take longer than `elapsed`; 1 until ready.
+    [[nodiscard]] double survival(duration elapsed) const;
+
+    /// Median time; zero until ready.
+    [[nodiscard]] duration typical() const;
+
+    /// Mean time; zero until ready.
+    [[nodiscard]] duration mean() const;
+
+    /// Time that about 1 request in 100 exceeds; the largest duration until ready.
+    [[nodiscard]] duration late_bound() const;
+
+private:
+    static constexpr unsigned min_count = 16;
+
+    [[nodiscard]] double spread() const;
+
+    unsigned count_ = 0;
+    double log_mean_ = 0;
+    double log_variance_ = 0;
+    double mean_ = 0;
+};
+
+} // namespace catkintally::core
--- a/packages/core/src/admission/admission_queue.cpp
+++ b/packages/core/src/admission/admission_queue.cpp
@@ -9,7 +9,7 @@
 
 using entries = std::deque<queued_request>;
 
-std::optional<queued_request> take(entries& from, entries::iterator at)
+std::optional<queued_request> take(entries& from, const entries::iterator& at)
 {
     if (at == from.end())
     {
--- /dev/null
+++ b/packages/core/src/admission/crash_guard.cpp
@@ -0,0 +1,127 @@
+#include <catkintally/core/admission/crash_guard.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace catkintally::core
+{
+namespace
+{
+
+/// The names under which a request is known. A zero fingerprint is an unknown one.
+std::vector<std::string> identities(std::uint64_t fingerprint, const std::string& key)
+{
+    std::vector<std::string> names;
+    if (fingerprint != 0)
+    {
+        names.push_back("f" + std::to_string(fingerprint));
+    }
+    if (!key.empty())
+    {
+        names.push_back("k" + key);
+    }
+    return names;
+}
+
+} // namespace
+
+void crash_guard::crashed(
+    std::uint64_t fingerprint,
+    const std::string& key,
+    const std::string& target,
+    time_point granted,
+    time_point now)
+{
+    for (const std::string& name : identities(fingerprint, key))
+    {
+        const auto known = records_.find(name);
+        const bool recent = known != records_.end() && known->second.crashed_at + memory > now;
+        if (recent && known->second.target != target && granted >= known->second.crashed_at)
+        {
+            known->second.refused_until = now + memory;
+            continue;
+        }
+        if (recent)
+        {
+            continue;
+        }
+        make_room(now);
+        records_[name] = {.target = target, .crashed_at = now, .refused_until = {}};
+    }
+}
+
+void crash_guard::answered(std::uint64_t fingerprint, const std::string& key)
+{
+    if (records_.empty())
+    {
+        return;
+    }
+    for (const std::string& name : identities(fingerprint, key))
+    {
+        records_.erase(name);
+    }
+}
+
+bool crash_guard::refuses(std::uint64_t fingerprint, const std::string& key, time_point now) const
+{
+    if (records_.empty())
+    {
+        return false;
+    }
+    const auto names = identities(fingerprint, key);
+    return std::any_of(
+        names.begin(), names.end(),
+        [&](const std::string& name)
+        {
+            const auto known = records_.find(name);
+            return known != records_.end() && known->second.refused_until > now;
+        });
+}
+
+bool crash_guard::suspects(std::uint64_t fingerprint, const std::string& key, time_point now) const
+{
+    if (records_.empty())
+    {
+        return false;
+    }
+    const auto names = identities(fingerprint, key);
+    return std::any_of(
+        names.begin(), names.end(),
+        [&](const std::string& name)
+        {
+            const auto known = records_.find(name);
+            return known != records_.end() && known->second.crashed_at + memory > now;
+        });
+}
+
+std::size_t crash_guard::refused_count(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        records_.begin(), records_.end(),
+        [now](const auto& entry) { return entry.second.refused_until > now; }));
+}
+
+void crash_guard::make_room(time_point now)
+{
+    if (records_.size() < max_records)
+    {
+        return;
+    }
+    std::erase_if(
+        records_, [now](const auto& entry)
+        { return entry.second.crashed_at + memory <= now && entry.second.refused_until <= now; });
+    // Under a flood of crashes, the oldest suspicion goes first; a refusal in force stays.
+    while (records_.size() >= max_records)
+    {
+        const auto oldest = std::min_element(
+            records_.begin(), records_.end(),
+            [](const auto& left, const auto& right)
+            {
+                return std::pair(left.second.refused_until, left.second.crashed_at) <
+                       std::pair(right.second.refused_until, right.second.crashed_at);
+            });
+        records_.erase(oldest);
+    }
+}
+
+} // namespace catkintally::core
--- a/packages/core/src/admission/service_admission.cpp
+++ b/packages/core/src/admission/service_admission.cpp
@@ -1,151 +1,225 @@
 #include <catkintally/core/admission/service_admission.hpp>
 
+#include <catkintally/core/admission/wait_estimate.hpp>
+
 #include <algorithm>
 #include <cassert>
 
 namespace catkintally::core
 {
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// How long after its deadline a place without a completion is still counted. Covers the way of the
+/// completion and the validity of the grant; a place is never returned while the request may run.
+constexpr duration expiry_grace = 500ms;
+
+} // namespace
 
 service_admission::service_admission(service_admission_options options)
     : options_(std::move(options))
+    , choice_(options_.seed)
 {
     assert(options_.timers && options_.decide);
 }
 
-service_admission::~service_admission() = default;
+service_admission::~service_admission()
+{
+    if (timer_ != 0)
+    {
+        options_.timers->cancel(timer_);
+    }
+}
 
 void service_admission::apply(const service_config& config, const table_snapshot& table)
 {
+    const time_point now = options_.timers->now();
     config_ = config;
-    for (auto& target : targets_)
-    {
-        const auto row = std::find_if(
-            config.targets.begin(), config.targets.end(),
-            [&](const target_row& candidate) { return candidate.name == target->row().name; });
-        if (row == config.targets.end())
-        {
-            target->update(target->row(), false);
-        }
-    }
+    retries_.set_percent(config.service.retry_budget_percent);
+    probes_.set_rate(config.service.probe_budget_per_s);
+
+    targets_.retire_unlisted(config, now);
     for (const target_row& row : config.targets)
     {
-        if (!find(row.name))
-        {
-            targets_.push_back(std::make_unique<target_admission>(row));
-        }
-        find(row.name)->update(
-            row, row.state == target_admin_state::in && row.weight > 0 &&
-                     !table.is_out(row.failure_domain));
+        const bool available = takes_new_work(row, table);
+        observe(
+            targets_.find_or_add(row),
+            [&](target_admission& target) { target.update(row, available, now); });
     }
-    place_queued();
+    refuse_unplaceable();
+    update();
 }
 
 void service_admission::submit(const admission_request& request)
 {
-    if (const auto known = grants_.find(request.id); known != grants_.end())
+    update();
+
+    // The same application again: the answer was lost, or a retry overtook its completion.
+    if (const grant_book::grant* known = grants_.find(request.id))
+    {
+        const auto& excluded = request.excluded_targets;
+        const std::string target = known->target;
+        if (std::find(excluded.begin(), excluded.end(), target) == excluded.end())
+        {
+            options_.decide(
+                {.id = request.id,
+                 .instance = request.instance,
+                 .code = decision_code::granted,
+                 .target = target,
+                 .retry_after = {}});
+            return;
+        }
+        cancel(request.id);
+    }
+    if (queue_.contains(request.id))
     {
-        options_.decide(
-            {.id = request.id,
-             .instance = request.instance,
-             .code = decision_code::granted,
-             .target = known->second.target,
-             .retry_after = {}});
         return;
     }
-    if (target_admission* target = choose(request))
+
+    const time_point now = options_.timers->now();
+    if (crashes_.refuses(request.fingerprint, request.key, now))
     {
-        grant_place(request, *target);
+        refuse(request, decision_code::refused_crashing_request, crash_guard::memory);
+        return;
+    }
+    if (request.retry && !retries_.take())
+    {
+        refuse(request, decision_code::refused_retry_budget, min_overload_wait);
+        return;
     }
-    else if (queue_.size() >= config_.service.queue_limit)
+    const wait_estimate expected =
+        estimate_wait(targets_.all(), queue_, times_, config_.service, input_for(request));
+    if (expected.refusal)
     {
-        refuse(request, decision_code::refused_queue_full, std::chrono::seconds(1));
+        if (request.retry)
+        {
+            retries_.give_back();
+        }
+        refuse(request, *expected.refusal, expected.retry_after);
+        return;
+    }
+    if (!request.retry)
+    {
+        retries_.admitted();
+    }
+    if (target_admission* target = choose(request))
+    {
+        grant_place(request, *target);
     }
     else
     {
         queue_.push(
             {.request = request,
              .work = config_.service.work,
-             .deadline = options_.timers->now() + request.deadline_left});
+             .deadline = now + request.deadline_left});
     }
+    arm();
 }
 
 void service_admission::cancel(request_id id)
 {
-    queue_.remove(id);
-    if (const auto known = grants_.find(id); known != grants_.end())
+    if (queue_.remove(id))
     {
-        if (target_admission* target = find(known->second.target))
-        {
-            target->remove(id);
-        }
-        grants_.erase(known);
-        place_queued();
+        return;
+    }
+    if (grants_.find(id))
+    {
+        return_place(id);
+        update();
     }
 }
 
 void service_admission::complete(const completion_report& report)
 {
-    const auto known = grants_.find(report.id);
-    if (known == grants_.end() || known->second.target != report.target)
+    const time_point now = options_.timers->now();
+    target_admission* target = targets_.find(report.target);
+    if (report.id == 0)
     {
+        if (target)
+        {
+            observe(*target, [&](target_admission& t) { t.probed(report, now); });
+            update();
+        }
         return;
     }
-    grants_.erase(known);
-    if (target_admission* target = find(report.target))
+    // A late report of an earlier attempt names another target and returns nothing.
+    const grant_book::grant* known = grants_.find(report.id);
+    if (!known || known->target != report.target)
     {
-        target->remove(report.id);
-        if (report.outcome == completion_outcome::answered)
-        {
-            target->succeeded();
-        }
-        else if (report.outcome != completion_outcome::cancelled)
-        {
-            target->set_cold();
-        }
-        if (options_.phase_changed)
+        return;
+    }
+    const grant_book::grant ended = *known;
+    if (report.outcome == completion_outcome::connection_lost && !ended.crash_counted)
+    {
+        grants_.target_crashed(report.target, crashes_, now);
+    }
+    const auto place = return_place(report.id);
+    assert(target && place);
+    if (report.outcome == completion_outcome::answered)
+    {
+        crashes_.answered(ended.fingerprint, ended.key);
+    }
+    observe(
+        *target,
+        [&](target_admission& t)
         {
-            options_.phase_changed(report.target);
-        }
+            ejections_prevented_ +=
+                t.finished(*place, report, times_, now, targets_.may_eject(t)) ? 1 : 0;
+        });
+    if (report.outcome == completion_outcome::answered)
+    {
+        times_.add(now - place->started);
     }
-    place_queued();
+    update();
 }
 
 void service_admission::restore_grant(
     request_id id, const std::string& target, duration deadline_left)
 {
-    if (grants_.contains(id))
+    if (grants_.find(id))
     {
         return;
     }
-    if (!find(target))
-    {
-        target_row row;
-        row.name = target;
-        targets_.push_back(std::make_unique<target_admission>(row));
-    }
-    grants_[id] = {.target = target, .expires = options_.timers->now() + deadline_left};
-    find(target)->add(id);
+    const time_point now = options_.timers->now();
+    grants_.add(
+        id, {.target = target,
+             .key = {},
+             .fingerprint = 0,
+             .granted = now,
+             .expires = now + deadline_left + expiry_grace});
+    // A target that is not in the table any more counts its places in case its row comes back.
+    target_row row;
+    row.name = target;
+    targets_.find_or_add(row).add(id, now, false);
+    arm();
 }
 
 void service_admission::restore_phase(
     const std::string& target, target_phase phase, std::uint32_t limit)
 {
-    if (target_admission* known = find(target))
+    if (target_admission* known = targets_.find(target))
     {
-        known->restore(phase, limit);
+        const time_point now = options_.timers->now();
+        observe(*known, [&](target_admission& t) { t.restore(phase, limit, now); });
+        update();
     }
 }
 
 void service_admission::block_cold_until(time_point until)
 {
     cold_blocked_until_ = until;
+    update();
 }
 
 std::vector<admission_request> service_admission::take_queue()
 {
+    const time_point now = options_.timers->now();
     std::vector<admission_request> requests;
     for (queued_request& entry : queue_.take_all())
     {
+        entry.request.deadline_left = entry.deadline - now;
         requests.push_back(std::move(entry.request));
     }
     return requests;
@@ -154,51 +228,64 @@
 std::vector<wire::target_state_data> service_admission::phases() const
 {
     std::vector<wire::target_state_data> states;
-    for (const auto& target : targets_)
+    for (const target_row& row : config_.targets)
     {
-        wire::target_state_data state;
-        state.target = target->row().name;
-        state.phase = target->phase();
-        state.limit = target->limit(0);
-        state.address = target->row().address;
-        states.push_back(std::move(state));
+        if (const target_admission* target = targets_.find(row.name))
+        {
+            wire::target_state_data state;
+            state.target = row.name;
+            state.phase = target->phase();
+            state.limit = target->phase() == target_phase::warm ? row.slots : target->phase_limit();
+            state.address = row.address;
+            states.push_back(std::move(state));
+        }
     }
     return states;
 }
 
 service_admission_dump service_admission::dump() const
 {
+    const time_point now = options_.timers->now();
     service_admission_dump copy;
     copy.service = options_.service;
     copy.version = config_.version;
-    copy.decisions = decisions_;
-    return copy;
-}
-
-void service_admission::place_queued()
-{
-    while (true)
+    for (const auto& target : targets_.all())
     {
-        target_admission* target = nullptr;
-        const auto entry = queue_.pop(
-            [&](const queued_request& waiting)
-            {
-                target = choose(waiting.request);
-                return target != nullptr;
-            });
-        if (!entry)
-        {
-            return;
-        }
-        grant_place(entry->request, *target);
+        copy.targets.push_back(
+            {.name = target->row().name,
+             .failure_domain = target->row().failure_domain,
+             .phase = target->phase(),
+             .limit = target->available() ? target->limit(config_.service.ahead, now) : 0,
+             .in_flight = static_cast<std::uint32_t>(target->places().size()),
+             .available = target->available(),
+             .reports_draining = target->reports_draining(),
+             .consecutive_failures = target->failures()});
     }
+    copy.queued_front = static_cast<std::uint32_t>(queue_.front_size());
+    copy.queued_archive = static_cast<std::uint32_t>(queue_.archive_size());
+    copy.decisions = decisions_;
+    copy.retry_tokens = retries_.tokens();
+    copy.probes_sent = probes_.sent();
+    copy.probes_delayed = probes_.delayed();
+    copy.ejections = ejections_;
+    copy.ejections_prevented = ejections_prevented_;
+    copy.places_expired = places_expired_;
+    copy.crashing_requests = crashes_.refused_count(now);
+    copy.typical_time_us = static_cast<std::uint64_t>(times_.typical().count());
+    return copy;
 }
 
 void service_admission::grant_place(const admission_request& request, target_admission& target)
 {
-    target.add(request.id);
-    grants_[request.id] = {
-        .target = target.row().name, .expires = options_.timers->now() + request.deadline_left};
+    const time_point now = options_.timers->now();
+    assert(target.occupied(now) < target.limit(config_.service.ahead, now));
+    target.add(request.id, now, crashes_.suspects(request.fingerprint, request.key, now));
+    grants_.add(
+        request.id, {.target = target.row().name,
+                     .key = request.key,
+                     .fingerprint = request.fingerprint,
+                     .granted = now,
+                     .expires = now + request.deadline_left + expiry_grace});
     ++decisions_[static_cast<std::size_t>(decision_code::granted)];
     options_.decide(
         {.id = request.id,
@@ -222,33 +309,178 @@
 
 target_admission* service_admission::choose(const admission_request& request)
 {
-    target_admission* best = nullptr;
-    double best_load = 0;
-    for (auto& target : targets_)
+    return choice_.choose(targets_.all(), input_for(request));
+}
+
+choice_input service_admission::input_for(const admission_request& request) const
+{
+    const time_point now = options_.timers->now();
+    return {
+        .request = request,
+        .suspect = crashes_.suspects(request.fingerprint, request.key, now),
+        .ahead = config_.service.ahead,
+        .now = now,
+        .cold_blocked_until = cold_blocked_until_};
+}
+
+void service_admission::update()
+{
+    const time_point now = options_.timers->now();
+    expire_places();
+    for (const auto& target : targets_.all())
     {
-        const auto& excluded = request.excluded_targets;
-        if (!target->available() || target->in_flight() >= target->limit(config_.service.ahead) ||
-            std::find(excluded.begin(), excluded.end(), target->row().name) != excluded.end())
+        if (target->phase() == target_phase::warm)
         {
-            continue;
+            observe(*target, [&](target_admission& t) { t.assess(times_, now); });
         }
-        const double load = (target->in_flight() + 1.0) /
-                            (static_cast<double>(target->row().slots) * target->row().weight);
-        if (!best || load < best_load)
+    }
+    refuse_late();
+    place_queued();
+    send_probes();
+    arm();
+}
+
+void service_admission::expire_places()
+{
+    while (const auto id = grants_.expired(options_.timers->now()))
+    {
+        return_place(*id);
+        ++places_expired_;
+    }
+}
+
+std::optional<target_admission::place> service_admission::return_place(request_id id)
+{
+    target_admission* target = targets_.find(grants_.find(id)->target);
+    grants_.remove(id);
+    return target ? target->remove(id, options_.timers->now()) : std::nullopt;
+}
+
+void service_admission::refuse_late()
+{
+    while (const auto entry = queue_.pop_due(options_.timers->now() + times_.typical()))
+    {
+        refuse(entry->request, decision_code::refused_deadline, min_overload_wait);
+    }
+}
+
+void service_admission::refuse_unplaceable()
+{
+    // The table may have taken away the last target that a waiting request could use.
+    for (queued_request& entry : queue_.take_all())
+    {
+        const choice_input input = input_for(entry.request);
+        const bool placeable = std::any_of(
+            targets_.all().begin(), targets_.all().end(),
+            [&](const auto& target)
+            { return target_choice::allowed(*target, input, time_point::max()); });
+        if (placeable)
         {
-            best = target.get();
-            best_load = load;
+            queue_.push(std::move(entry));
+        }
+        else
+        {
+            refuse(entry.request, decision_code::refused_no_target, no_target_wait);
         }
     }
-    return best;
 }
 
-target_admission* service_admission::find(const std::string& name)
+void service_admission::place_queued()
 {
-    const auto found = std::find_if(
-        targets_.begin(), targets_.end(),
-        [&](const auto& target) { return target->row().name == name; });
-    return found == targets_.end() ? nullptr : found->get();
+    while (queue_.size() > 0 && targets_.any_free(config_.service.ahead, options_.timers->now()))
+    {
+        target_admission* target = nullptr;
+        auto entry = queue_.pop(
+            [&](const queued_request& waiting)
+            {
+                target = choose(waiting.request);
+                return target != nullptr;
+            });
+        if (!entry)
+        {
+            return;
+        }
+        entry->request.deadline_left = entry->deadline - options_.timers->now();
+        grant_place(entry->request, *target);
+    }
+}
+
+void service_admission::send_probes()
+{
+    while (options_.probe)
+    {
+        const target_admission* target = probes_.take(targets_.all(), options_.timers->now());
+        if (!target)
+        {
+            return;
+        }
+        options_.probe(target->row().name);
+    }
+}
+
+void service_admission::arm()
+{
+    const time_point now = options_.timers->now();
+    std::optional<time_point> next;
+    const auto consider = [&](std::optional<time_point> at)
+    {
+        if (at)
+        {
+            next = std::min(next.value_or(*at), *at);
+        }
+    };
+    consider(grants_.next_expiry());
+    if (queue_.size() > 0)
+    {
+        consider(*queue_.earliest_deadline() - times_.typical());
+        consider(targets_.next_change(now));
+        if (cold_blocked_until_ > now)
+        {
+            consider(cold_blocked_until_);
+        }
+    }
+    if (options_.probe)
+    {
+        consider(probes_.next_time(targets_.all()));
+    }
+
+    // An earlier timer that is already set only leads to one more update.
+    if (!next || (timer_ != 0 && timer_due_ <= *next))
+    {
+        return;
+    }
+    if (timer_ != 0)
+    {
+        options_.timers->cancel(timer_);
+    }
+    timer_due_ = std::max(*next, now);
+    timer_ = options_.timers->schedule_after(
+        timer_due_ - now,
+        [this]
+        {
+            timer_ = 0;
+            update();
+        });
+}
+
+template <class change_type>
+void service_admission::observe(target_admission& target, change_type change)
+{
+    const target_phase phase = target.phase();
+    const std::uint32_t limit = target.phase_limit();
+    change(target);
+    if (target.phase() == phase && target.phase_limit() == limit)
+    {
+        return;
+    }
+    if (target.phase() == target_phase::ejected && phase != target_phase::ejected)
+    {
+        ++ejections_;
+    }
+    if (options_.phase_changed)
+    {
+        options_.phase_changed(target.row().name);
+    }
 }
 
 } // namespace catkintally::core
--- /dev/null
+++ b/packages/core/src/admission/target_choice.cpp
@@ -0,0 +1,92 @@
+#include <catkintally/core/admission/target_choice.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace catkintally::core
+{
+namespace
+{
+
+bool excludes(const admission_request& request, const std::string& name)
+{
+    const auto& excluded = request.excluded_targets;
+    return std::find(excluded.begin(), excluded.end(), name) != excluded.end();
+}
+
+bool is_cold(const target_admission& target)
+{
+    return target.phase() == target_phase::cold || target.phase() == target_phase::ejected;
+}
+
+/// A suspect shares a target with no other suspect, so that a crash tells which one caused it.
+bool holds_suspect(const target_admission& target)
+{
+    return std::any_of(
+        target.places().begin(), target.places().end(),
+        [](const target_admission::place& entry) { return entry.suspect; });
+}
+
+} // namespace
+
+target_admission* target_choice::choose(const target_list& targets, const choice_input& input)
+{
+    // A retry prefers a failure domain other than those of the targets it excludes.
+    std::vector<std::string> tried_domains;
+    if (input.request.retry)
+    {
+        for (const auto& target : targets)
+        {
+            if (excludes(input.request, target->row().name))
+            {
+                tried_domains.push_back(target->row().failure_domain);
+            }
+        }
+    }
+
+    target_admission* best = nullptr;
+    using rank = std::tuple<bool, double, bool, std::uint64_t>;
+    rank best_rank;
+    for (const auto& target : targets)
+    {
+        const std::uint32_t occupied = target->occupied(input.now);
+        if (!allowed(*target, input, input.now) ||
+            occupied >= target->limit(input.ahead, input.now) ||
+            (input.suspect && holds_suspect(*target)))
+        {
+            continue;
+        }
+        const target_row& row = target->row();
+        const bool tried =
+            std::find(tried_domains.begin(), tried_domains.end(), row.failure_domain) !=
+            tried_domains.end();
+        const double load = (occupied + 1.0) / (static_cast<double>(row.slots) * row.weight);
+        const bool remote = row.failure_domain != input.request.failure_domain;
+        const rank this_rank(tried, load, remote, random());
+        if (!best || this_rank < best_rank)
+        {
+            best = target.get();
+            best_rank = this_rank;
+        }
+    }
+    return best;
+}
+
+bool target_choice::allowed(
+    const target_admission& target, const choice_input& input, time_point at)
+{
+    return target.accepts(at) && !(is_cold(target) && at < input.cold_blocked_until) &&
+           !excludes(input.request, target.row().name);
+}
+
+std::uint64_t target_choice::random()
+{
+    // SplitMix64: the standard engines are larger, and their distributions differ by library.
+    state_ += 0x9e3779b97f4a7c15;
+    std::uint64_t mixed = state_;
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+    return mixed ^ (mixed >> 31);
+}
+
+} // namespace catkintally::core
