--- a/packages/core/include/catkintally/core/admission/target_choice.hpp
+++ b/packages/core/include/catkintally/core/admission/target_choice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkintally/core/admission/split_mix.hpp>
 #include <catkintally/core/admission/target_admission.hpp>
 
 #include <memory>
@@ -28,7 +29,7 @@
 {
 public:
     explicit target_choice(std::uint64_t seed)
-        : state_(seed)
+        : random_(seed)
     {
     }
 
@@ -40,9 +41,7 @@
     allowed(const target_admission& target, const choice_input& input, time_point at);
 
 private:
-    std::uint64_t random();
-
-    std::uint64_t state_;
+    split_mix random_;
 };
 
 } // namespace catkintally::core
--- a/packages/core/src/admission/target_choice.cpp
+++ b/packages/core/src/admission/target_choice.cpp
@@ -62,7 +62,7 @@
             tried_domains.end();
         const double load = (occupied + 1.0) / (static_cast<double>(row.slots) * row.weight);
         const bool remote = row.failure_domain != input.request.failure_domain;
-        const rank this_rank(tried, load, remote, random());
+        const rank this_rank(tried, load, remote, random_.next());
         if (!best || this_rank < best_rank)
         {
             best = target.get();
@@ -79,14 +79,4 @@
            !excludes(input.request, target.row().name);
 }
 
-std::uint64_t target_choice::random()
-{
-    // SplitMix64: the standard engines are larger, and their distributions differ by library.
-    state_ += 0x9e3779b97f4a7c15;
-    std::uint64_t mixed = state_;
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
-    return mixed ^ (mixed >> 31);
-}
-
 } // namespace catkintally::core
