--- a/packages/core/include/catkintally/core/admission/crash_guard.hpp
+++ b/packages/core/include/catkintally/core/admission/crash_guard.hpp
@@ -15,12 +15,16 @@
 class crash_guard
 {
 public:
-    /// Records that a request was in flight on `target`, since `granted`, when it crashed.
+    /// Records that a request was in flight on `target` when it crashed. `grant_number` counts the
+    /// grants of the service, and `grants_before` is their count at the crash. Times do not serve
+    /// here: the grant of a retry may carry the same time as the crash.
+
     void crashed(
         std::uint64_t fingerprint,
         const std::string& key,
         const std::string& target,
-        time_point granted,
+        std::uint64_t grant_number,
+        std::uint64_t grants_before,
         time_point now);
 
     /// Records that a target answered the request.
@@ -46,6 +50,7 @@
     struct record
     {
         std::string target;
+        std::uint64_t grants_before = 0;
         time_point crashed_at{};
         time_point refused_until{};
     };
--- a/packages/core/include/catkintally/core/admission/grant_book.hpp
+++ b/packages/core/include/catkintally/core/admission/grant_book.hpp
@@ -20,14 +20,19 @@
         std::string key;
         /// 0 if unknown.
         std::uint64_t fingerprint = 0;
-        time_point granted{};
         /// When the place is returned if no completion has arrived.
         time_point expires{};
+        /// Position among all grants, from 1.
+        std::uint64_t number = 0;
         /// Already counted in a crash of its target.
         bool crash_counted = false;
     };
 
-    void add(request_id id, grant entry) { grants_.emplace(id, std::move(entry)); }
+    void add(request_id id, grant entry)
+    {
+        entry.number = ++added_;
+        grants_.emplace(id, std::move(entry));
+    }
     void remove(request_id id) { grants_.erase(id); }
 
     /// The grant, or null.
@@ -49,6 +54,7 @@
 
 private:
     std::map<request_id, grant> grants_;
+    std::uint64_t added_ = 0;
 };
 
 } // namespace catkintally::core
--- a/packages/core/src/admission/crash_guard.cpp
+++ b/packages/core/src/admission/crash_guard.cpp
@@ -29,14 +29,15 @@
     std::uint64_t fingerprint,
     const std::string& key,
     const std::string& target,
-    time_point granted,
+    std::uint64_t grant_number,
+    std::uint64_t grants_before,
     time_point now)
 {
     for (const std::string& name : identities(fingerprint, key))
     {
         const auto known = records_.find(name);
         const bool recent = known != records_.end() && known->second.crashed_at + memory > now;
-        if (recent && known->second.target != target && granted >= known->second.crashed_at)
+        if (recent && known->second.target != target && grant_number > known->second.grants_before)
         {
             known->second.refused_until = now + memory;
             continue;
@@ -46,7 +47,11 @@
             continue;
         }
         make_room(now);
-        records_[name] = {.target = target, .crashed_at = now, .refused_until = {}};
+        records_[name] = {
+            .target = target,
+            .grants_before = grants_before,
+            .crashed_at = now,
+            .refused_until = {}};
     }
 }
 
--- a/packages/core/src/admission/grant_book.cpp
+++ b/packages/core/src/admission/grant_book.cpp
@@ -30,7 +30,7 @@
         if (entry.target == target && !entry.crash_counted)
         {
             entry.crash_counted = true;
-            guard.crashed(entry.fingerprint, entry.key, target, entry.granted, now);
+            guard.crashed(entry.fingerprint, entry.key, target, entry.number, added_, now);
         }
     }
 }
--- a/packages/core/src/admission/service_admission.cpp
+++ b/packages/core/src/admission/service_admission.cpp
@@ -187,7 +187,6 @@
         id, {.target = target,
              .key = {},
              .fingerprint = 0,
-             .granted = now,
              .expires = now + deadline_left + expiry_grace});
     // A target that is not in the table any more counts its places in case its row comes back.
     target_row row;
@@ -284,7 +283,6 @@
         request.id, {.target = target.row().name,
                      .key = request.key,
                      .fingerprint = request.fingerprint,
-                     .granted = now,
                      .expires = now + request.deadline_left + expiry_grace});
     ++decisions_[static_cast<std::size_t>(decision_code::granted)];
     options_.decide(
