--- a/packages/wire/include/catkintally/wire/codec/frame_codec.hpp
+++ b/packages/wire/include/catkintally/wire/codec/frame_codec.hpp
@@ -17,7 +17,7 @@
 inline constexpr std::size_t frame_header_bytes = 4;
 
 /// Limit of one envelope. It holds a full idempotency table of one service in one recover_reply.
-inline constexpr std::size_t max_envelope_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_envelope_bytes = std::size_t{4} << 20;
 
 /// Serialises one message as length field and envelope. Fails with frame_error::too_large.
 [[nodiscard]] boost::leaf::result<std::string> encode_frame(const payloadUnion& message);
--- a/packages/wire/tests/codec/frame_codec_test.cpp
+++ b/packages/wire/tests/codec/frame_codec_test.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/wire/codec/frame_codec.hpp>
+#include <catkintally/wire/codec/make_message.hpp>
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -14,12 +15,10 @@
 
 std::string frame_of(std::uint64_t epoch)
 {
-    payloadUnion message;
     heartbeat_data data;
     data.epoch = epoch;
     data.sequence = 7;
-    message.Set(std::move(data));
-    return encode_frame(message).value();
+    return encode_frame(make_message(data)).value();
 }
 
 std::span<const std::uint8_t> bytes_of(const std::string& text)
@@ -115,9 +114,7 @@
 // Guards against an envelope that a peer would have to refuse.
 TEST_CASE("an envelope beyond the limit is not encoded")
 {
-    payloadUnion message;
     answer_reply_data data;
     data.body.resize(max_envelope_bytes + 1);
-    message.Set(std::move(data));
-    CHECK_FALSE(encode_frame(message));
+    CHECK_FALSE(encode_frame(make_message(std::move(data))));
 }
