--- a/packages/core/include/catkintally/core/fleet/admission_client.hpp
+++ b/packages/core/include/catkintally/core/fleet/admission_client.hpp
@@ -35,7 +35,7 @@
     std::function<void(const member_id&, wire::payloadUnion)> send;
     /// A reply showed that `peer` is in a newer epoch.
     std::function<void(const member_id& peer)> behind;
-    answer_store_options answers;
+    answer_store_options answers = {};
 };
 
 /// Counts of an admission_client for the dump.
--- a/packages/core/include/catkintally/core/fleet/fleet_node.hpp
+++ b/packages/core/include/catkintally/core/fleet/fleet_node.hpp
@@ -51,7 +51,7 @@
     std::function<bool()> idle;
     fleet_event_hook event;
     std::size_t key_capacity = 10'000;
-    answer_store_options answers;
+    answer_store_options answers = {};
     /// Limit of the wait for the store in a planned stop.
     duration stop_limit = std::chrono::seconds(30);
 };
