Follow chunked bodies strictly and refuse bad ones with a typed answer

evhttp accepts chunk data without its line end and answers a bad chunk with 413. Trailers of requests are refused: evhttp merges them into the fields that routing has already used.

--- a/packages/entry/include/catkintally/entry/http/head_gate.hpp
+++ b/packages/entry/include/catkintally/entry/http/head_gate.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <catkintally/entry/http/chunk_scanner.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +21,8 @@
 {
     /// The reader gets it and everything after it.
     pass,
+    /// As pass; the body after it is chunked and is followed to its end.
+    pass_chunked,
     /// It is dropped and the next head is awaited.
     drop,
     /// It is dropped and so is everything after it.
@@ -37,12 +42,17 @@
     std::function<head_verdict(std::string_view head)> check;
     /// A head exceeded a limit. Must not destroy the gate.
     std::function<void()> too_large;
+    /// Largest chunked body, and whether fields may follow it.
+    std::uint64_t max_chunked_bytes = 0;
+    bool trailers = false;
+    /// A chunked body is malformed or too large. Must not destroy the gate.
+    std::function<void(chunk_state)> bad_body;
 };
 
 /// Holds back the bytes that arrive in an input buffer until a whole head is there and has been
 /// checked, so that evhttp never sees a head that it would read wrongly. Among these are interim
 /// responses: evhttp's client takes every 1xx but 100 as final and stalls when a 100 and the final
-/// response arrive in one segment.
+/// response arrive in one segment. A chunked body is checked as it passes.
 class head_gate
 {
 public:
@@ -80,6 +90,7 @@
     void take_input();
     void judge();
     void release();
+    void follow(std::size_t added);
 
     evbuffer* input_;
     head_gate_options options_;
@@ -88,6 +99,7 @@
     bool busy_ = false;
     std::size_t dropped_ = 0;
     std::string held_;
+    std::optional<chunk_scanner> chunks_;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/http/request_check.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_check.hpp
@@ -33,9 +33,18 @@
 /// Name in the catkintally-reason header and the metrics.
 [[nodiscard]] std::string_view fault_name(request_fault fault);
 
+/// Result of the check of a request head.
+struct request_verdict
+{
+    /// Nothing if the head is valid.
+    std::optional<request_fault> fault;
+    /// The body is chunked.
+    bool chunked = false;
+};
+
 /// Checks the head of a request as received. The library behind the front accepts several of these
 /// heads and would read the body, or the next request, at the wrong place.
-[[nodiscard]] std::optional<request_fault>
+[[nodiscard]] request_verdict
 check_request_head(std::string_view text, std::uint64_t max_body_bytes);
 
 /// True for a path with "." or ".." segments, plain or percent-encoded. Such a path would be routed
--- a/packages/entry/include/catkintally/entry/http/response_check.hpp
+++ b/packages/entry/include/catkintally/entry/http/response_check.hpp
@@ -11,6 +11,8 @@
 {
     /// The final head; its body has a known end.
     final_head,
+    /// The final head of a chunked response with a body.
+    final_chunked,
     /// An interim 1xx head, to be dropped.
     interim,
     malformed,
--- a/packages/entry/src/http/caller_call.cpp
+++ b/packages/entry/src/http/caller_call.cpp
@@ -156,6 +156,10 @@
         request_.method == "HEAD" || response.status == 204 || response.status == 304;
     if (!bodiless)
     {
+        // evhttp would leave the length out for an HTTP/1.0 caller, who could then not tell a
+        // truncated response from a whole one.
+        const std::size_t length = response.body ? response.body->size() : 0;
+        evhttp_add_header(fields, "Content-Length", std::to_string(length).c_str());
         append_shared(body, response.body);
     }
     evhttp_send_reply(std::exchange(handle_, nullptr), response.status, nullptr, body);
--- a/packages/entry/src/http/caller_connections.cpp
+++ b/packages/entry/src/http/caller_connections.cpp
@@ -93,7 +93,17 @@
             .max_bytes = limits_.header_bytes,
             .skip_blank_lines = true,
             .check = [this, &self](std::string_view head) { return check_head(self, head); },
-            .too_large = [this, &self] { refuse(self, request_fault::head_too_large); }});
+            .too_large = [this, &self] { refuse(self, request_fault::head_too_large); },
+            // A trailer would be merged into the fields that were checked and routed by.
+            .max_chunked_bytes = limits_.body_bytes,
+            .trailers = false,
+            .bad_body =
+                [this, &self](chunk_state state)
+            {
+                refuse(
+                    self, state == chunk_state::too_large ? request_fault::body_too_large
+                                                          : request_fault::malformed);
+            }});
     self.gate->await_head();
     entries_.emplace(stream, std::move(added));
     return stream;
@@ -101,14 +111,15 @@
 
 head_verdict caller_connections::check_head(entry& checked, std::string_view head)
 {
-    if (const auto fault = check_request_head(head, limits_.body_bytes))
+    const request_verdict verdict = check_request_head(head, limits_.body_bytes);
+    if (verdict.fault)
     {
-        refuse(checked, *fault);
+        refuse(checked, *verdict.fault);
         return head_verdict::reject;
     }
     checked.now = phase::receiving;
     checked.since = timers_.now();
-    return head_verdict::pass;
+    return verdict.chunked ? head_verdict::pass_chunked : head_verdict::pass;
 }
 
 void caller_connections::refuse(entry& refused, request_fault fault)
--- a/packages/entry/src/http/head_gate.cpp
+++ b/packages/entry/src/http/head_gate.cpp
@@ -23,6 +23,7 @@
 void head_gate::await_head()
 {
     state_ = state::awaiting;
+    chunks_.reset();
     dropped_ = 0;
     busy_ = true;
     judge();
@@ -46,13 +47,20 @@
 {
     auto* self = static_cast<head_gate*>(context);
     // The gate's own changes come back here.
-    if (self->busy_ || info->n_added == 0 || self->state_ == state::open)
+    if (self->busy_ || info->n_added == 0)
     {
         return;
     }
     self->busy_ = true;
-    self->take_input();
-    self->judge();
+    if (self->state_ == state::open)
+    {
+        self->follow(info->n_added);
+    }
+    else
+    {
+        self->take_input();
+        self->judge();
+    }
     self->busy_ = false;
 }
 
@@ -84,12 +92,22 @@
         {
             return;
         }
-        switch (options_.check(std::string_view(held_).substr(0, end)))
+        const head_verdict verdict = options_.check(std::string_view(held_).substr(0, end));
+        switch (verdict)
         {
         case head_verdict::pass:
+        case head_verdict::pass_chunked:
+        {
+            const std::size_t body_bytes = held_.size() - end;
             state_ = state::open;
             release();
+            if (verdict == head_verdict::pass_chunked)
+            {
+                chunks_.emplace(options_.max_chunked_bytes, options_.trailers);
+                follow(body_bytes);
+            }
             return;
+        }
         case head_verdict::drop:
             held_.erase(0, end);
             ++dropped_;
@@ -105,6 +123,31 @@
     }
 }
 
+void head_gate::follow(std::size_t added)
+{
+    if (!chunks_ || added == 0)
+    {
+        return;
+    }
+    // The new bytes stand at the end, after bytes that the reader has not taken yet.
+    std::string bytes(added, '\0');
+    evbuffer_ptr from;
+    evbuffer_ptr_set(input_, &from, evbuffer_get_length(input_) - added, EVBUFFER_PTR_SET);
+    evbuffer_copyout_from(input_, &from, bytes.data(), added);
+    const chunk_state found = chunks_->scan(bytes);
+    if (found == chunk_state::done)
+    {
+        chunks_.reset();
+    }
+    else if (found != chunk_state::more)
+    {
+        chunks_.reset();
+        discard();
+        evbuffer_drain(input_, evbuffer_get_length(input_));
+        options_.bad_body(found);
+    }
+}
+
 void head_gate::release()
 {
     // libevent freezes the end of a socket's input buffer outside its own read.
--- a/packages/entry/src/http/request_check.cpp
+++ b/packages/entry/src/http/request_check.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <string>
+#include <utility>
 
 namespace catkintally::entry
 {
@@ -52,30 +53,43 @@
     "GET", "HEAD", "DELETE", "OPTIONS"};
 constexpr std::array<std::string_view, 2> refused_methods = {"CONNECT", "TRACE"};
 
-std::optional<request_fault>
+request_verdict
 check_framing(const header_list& fields, bool body_allowed, bool old_version, std::uint64_t limit)
 {
     const body_framing framing = framing_of(fields);
     if (framing.lengths > 1 || framing.encodings > 1 ||
         (framing.lengths > 0 && (framing.encodings > 0 || !framing.length)))
     {
-        return request_fault::conflicting_length;
+        return {.fault = request_fault::conflicting_length};
     }
     if (framing.encodings > 0 && (!framing.chunked || old_version))
     {
-        return request_fault::unknown_encoding;
+        return {.fault = request_fault::unknown_encoding};
     }
     const std::uint64_t length = framing.length.value_or(0);
     if (!body_allowed && (framing.chunked || length > 0))
     {
         // evhttp reads no body for these methods and would take it for the next request.
-        return request_fault::body_not_accepted;
+        return {.fault = request_fault::body_not_accepted};
     }
     if (length > limit)
     {
-        return request_fault::body_too_large;
+        return {.fault = request_fault::body_too_large};
     }
-    return std::nullopt;
+    return {.fault = std::nullopt, .chunked = framing.chunked};
+}
+
+/// Splits an absolute URI into authority and path; other URIs have no authority.
+std::pair<std::string_view, std::string_view> split_uri(std::string_view uri)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!equal_names(uri.substr(0, scheme.size()), scheme))
+    {
+        return {{}, uri};
+    }
+    uri.remove_prefix(scheme.size());
+    const auto end = std::min(uri.find('/'), uri.size());
+    return {uri.substr(0, end), end == uri.size() ? "/" : uri.substr(end)};
 }
 
 bool is_valid_uri(std::string_view uri)
@@ -87,12 +101,7 @@
     {
         return false;
     }
-    constexpr std::string_view scheme = "http://";
-    if (equal_names(uri.substr(0, scheme.size()), scheme))
-    {
-        const auto slash = uri.find('/', scheme.size());
-        uri = slash == std::string_view::npos ? "/" : uri.substr(slash);
-    }
+    uri = split_uri(uri).second;
     return uri.starts_with('/') && !has_dot_segments(uri.substr(0, uri.find('?')));
 }
 
@@ -121,12 +130,12 @@
     return plain.find("/./") != std::string::npos || plain.find("/../") != std::string::npos;
 }
 
-std::optional<request_fault> check_request_head(std::string_view text, std::uint64_t max_body_bytes)
+request_verdict check_request_head(std::string_view text, std::uint64_t max_body_bytes)
 {
     const auto head = parse_http_head(text);
     if (!head)
     {
-        return request_fault::malformed;
+        return {.fault = request_fault::malformed};
     }
 
     // The request line has exactly three parts.
@@ -135,47 +144,53 @@
     const auto second = first == std::string_view::npos ? first : line.find(' ', first + 1);
     if (second == std::string_view::npos)
     {
-        return request_fault::malformed;
+        return {.fault = request_fault::malformed};
     }
     const auto method = line.substr(0, first);
     const auto uri = line.substr(first + 1, second - first - 1);
     const auto version = line.substr(second + 1);
     if (!is_token(method) || !version.starts_with("HTTP/"))
     {
-        return request_fault::malformed;
+        return {.fault = request_fault::malformed};
     }
     if (version != "HTTP/1.1" && version != "HTTP/1.0")
     {
-        return request_fault::unknown_version;
+        return {.fault = request_fault::unknown_version};
     }
     const bool old_version = version == "HTTP/1.0";
     if (contains(refused_methods, method))
     {
-        return request_fault::method_not_allowed;
+        return {.fault = request_fault::method_not_allowed};
     }
     const bool body_allowed = contains(methods_with_body, method);
     if (!body_allowed && !contains(methods_without_body, method))
     {
-        return request_fault::unknown_method;
+        return {.fault = request_fault::unknown_method};
     }
     if (!is_valid_uri(uri))
     {
-        return request_fault::malformed;
+        return {.fault = request_fault::malformed};
     }
 
-    // One Host, a known expectation and an unambiguous body.
+    // One Host, the same as in an absolute URI, a known expectation and an unambiguous body.
+    const auto authority = split_uri(uri).first;
     std::size_t hosts = 0;
     for (const auto& [name, value] : head->fields)
     {
-        hosts += equal_names(name, "Host") ? 1 : 0;
+        const bool is_host = equal_names(name, "Host");
+        hosts += is_host ? 1 : 0;
+        if (is_host && !authority.empty() && !equal_names(value, authority))
+        {
+            return {.fault = request_fault::malformed};
+        }
         if (equal_names(name, "Expect") && !equal_names(value, "100-continue"))
         {
-            return request_fault::unknown_expectation;
+            return {.fault = request_fault::unknown_expectation};
         }
     }
     if (hosts > 1 || (hosts == 0 && !old_version))
     {
-        return request_fault::malformed;
+        return {.fault = request_fault::malformed};
     }
     return check_framing(head->fields, body_allowed, old_version, max_body_bytes);
 }
--- a/packages/entry/src/http/response_check.cpp
+++ b/packages/entry/src/http/response_check.cpp
@@ -10,8 +10,8 @@
 std::string_view verdict_name(response_verdict verdict)
 {
     constexpr auto names = std::to_array<std::string_view>(
-        {"final_head", "interim", "malformed", "conflicting_length", "length_with_encoding",
-         "unknown_encoding", "close_delimited", "unexpected_upgrade"});
+        {"final_head", "final_chunked", "interim", "malformed", "conflicting_length",
+         "length_with_encoding", "unknown_encoding", "close_delimited", "unexpected_upgrade"});
     return names.at(static_cast<std::size_t>(verdict));
 }
 
@@ -59,7 +59,8 @@
     {
         return response_verdict::close_delimited;
     }
-    return response_verdict::final_head;
+    return framing.chunked && !bodiless ? response_verdict::final_chunked
+                                        : response_verdict::final_head;
 }
 
 } // namespace catkintally::entry
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -85,7 +85,10 @@
         head_gate_options{
             .max_bytes = limits_.header_bytes,
             .check = [this](std::string_view head) { return check_head(head); },
-            .too_large = [this] { fail_later("response head exceeds the limit"); }});
+            .too_large = [this] { fail_later("response head exceeds the limit"); },
+            .max_chunked_bytes = limits_.body_bytes,
+            .trailers = true,
+            .bad_body = [this](chunk_state) { fail_later("chunked response body"); }});
     watch_output();
 }
 
@@ -180,6 +183,8 @@
     {
     case response_verdict::final_head:
         return head_verdict::pass;
+    case response_verdict::final_chunked:
+        return head_verdict::pass_chunked;
     case response_verdict::interim:
         return head_verdict::drop;
     default:
--- a/packages/entry/tests/http/caller_side_test.cpp
+++ b/packages/entry/tests/http/caller_side_test.cpp
@@ -48,6 +48,7 @@
         {"GET /a/%2E./b HTTP/1.1\r\n" + host + "\r\n", 400, "malformed"},
         {"GET a HTTP/1.1\r\n" + host + "\r\n", 400, "malformed"},
         {"GET /a HTTP/1.1\r\n" + host + "Content-Length: 1\r\n\r\nx", 400, "body_not_accepted"},
+        {"GET http://other/a HTTP/1.1\r\n" + host + "\r\n", 400, "malformed"},
         {"GET /a HTTP/2.0\r\n" + host + "\r\n", 505, "unknown_version"},
         {"BREW /a HTTP/1.1\r\n" + host + "\r\n", 501, "unknown_method"},
         {"CONNECT /a HTTP/1.1\r\n" + host + "\r\n", 405, "method_not_allowed"},
@@ -82,16 +83,34 @@
     CHECK(bench.asked.empty());
 }
 
-// Guards against bodies that evhttp itself refuses and that still reach a target.
-TEST_CASE("a request with a broken or endless chunked body reaches no target")
+// Guards against a broken or endless chunked body that reaches a target, in one segment or several.
+TEST_CASE("a request with a bad chunked body is refused")
 {
-    const std::string body = GENERATE(
-        std::string("zz\r\nab\r\n0\r\n\r\n"), "3e8\r\n" + std::string(1'000, 'x') + "\r\n3e8\r\n" +
-                                                  std::string(1'000, 'x') + "\r\n0\r\n\r\n");
+    struct row
+    {
+        std::string body;
+        int status;
+    };
+    const std::string chunk = "3e8\r\n" + std::string(1'000, 'x') + "\r\n";
+    const auto sample = GENERATE_COPY(values<row>(
+        {{"zz\r\nab\r\n0\r\n\r\n", 400},
+         {"2\r\nab0\r\n\r\n", 400},
+         {"2\r\nab\r\n0\r\nHost: other\r\n\r\n", 400},
+         {chunk + chunk + "0\r\n\r\n", 413}}));
+    const bool pieces = GENERATE(false, true);
     path_fixture bench([](auto& values) { values.callers.body_bytes = 1'500; });
-    const std::string response = send_raw(
-        bench, "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n" + body);
-    CHECK(status_of(response) / 100 == 4);
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send("POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t at = 0; at < sample.body.size();)
+    {
+        const std::size_t step = pieces ? 3 : sample.body.size();
+        caller.send(sample.body.substr(at, step));
+        at += step;
+        bench.settle();
+    }
+    bench.run_until([&] { return caller.ended; });
+    CHECK(status_of(caller.received) == sample.status);
+    CHECK(field_of(caller.received, "catkintally-outcome") == "not-run");
     CHECK(bench.asked.empty());
 }
 
@@ -184,7 +203,9 @@
     CHECK(std::stoi(field_of(sent, "catkintally-deadline-ms")) <= 10'000);
     CHECK(sent.ends_with("\r\n\r\nbody"));
 
-    const std::string answer = bench.ask(path_fixture::request("GET"));
+    const std::string answer =
+        bench.ask("GET http://desk.example/pay HTTP/1.0\r\nHost: desk.example\r\n\r\n");
+    CHECK(target.last_request.starts_with("GET /pay HTTP/1.1\r\n"));
     CHECK(field_of(answer, "X-Kept") == "1");
     CHECK(field_of(answer, "Via") == "1.1 catkintally");
     for (const char* name : {"X-Own", "Keep-Alive", "catkintally-load", "catkintally-outcome"})
