--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -66,6 +66,7 @@
     void ask(bool retry);
     void on_answer(const core::admission_answer& answer);
     void dispatch(const core::admission_answer& answer);
+    void on_lapsed();
     void on_end(const dispatch_end& end);
     void on_deadline();
     void on_gone();
--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -32,6 +32,8 @@
     /// Fields without framing; the connection adds that.
     header_list fields;
     shared_body body;
+    /// Asked directly before the first byte; false holds the request back.
+    std::function<bool()> may_send;
 };
 
 /// How a dispatch ended.
@@ -41,6 +43,8 @@
     answered,
     /// No byte of the request can have reached the target.
     not_sent,
+    /// may_send refused; no byte has left.
+    held_back,
     /// Bytes may have reached the target, and no whole, well-framed answer came back.
     lost
 };
--- a/packages/entry/include/catkintally/entry/targets/target_connection.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_connection.hpp
@@ -48,6 +48,7 @@
     void fail_later(std::string detail);
     void finish(dispatch_end end);
     [[nodiscard]] dispatch_end take_answer(evhttp_request* request) const;
+    void on_first_byte();
     void watch_output();
 
     core::timer_service& timers_;
@@ -55,8 +56,10 @@
     evhttp_connection* connection_ = nullptr;
     std::unique_ptr<head_gate> gate_;
     dispatch_hook done_;
+    std::function<bool()> may_send_;
     bool head_request_ = false;
     bool sent_ = false;
+    bool held_back_ = false;
     bool spent_ = false;
     core::time_point sent_at_{};
     core::time_point idle_since_{};
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -133,20 +133,11 @@
         refuse({.status = 504, .claim = unsent_claim(), .reason = "deadline_expired"});
         return;
     }
-    // Nothing may come between this check and the sending but the connection itself.
+    // Checked here to spare a connection, and again directly before the first byte: connecting may
+    // outlast the grant.
     if (!context_.gateway->may_send(plan_.request.id))
     {
-        complete(core::completion_outcome::not_run, {});
-        if (++lapsed_grants_ >= max_lapsed_grants)
-        {
-            refuse(
-                {.status = 503,
-                 .claim = unsent_claim(),
-                 .reason = "grant_lapsed",
-                 .retry_after = std::chrono::seconds(1)});
-            return;
-        }
-        ask(plan_.request.retry);
+        on_lapsed();
         return;
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left());
@@ -162,7 +153,9 @@
                                  .deadline_left = std::to_string(left.count()),
                                  .request_id = plan_.request_id,
                                  .caller_address = request.address}),
-            .body = request.body},
+            .body = request.body,
+            .may_send = [gateway = context_.gateway, id = plan_.request.id]
+            { return gateway->may_send(id); }},
         [weak = weak_from_this()](const dispatch_end& end)
         {
             if (const auto self = weak.lock())
@@ -172,6 +165,21 @@
         });
 }
 
+void exchange::on_lapsed()
+{
+    complete(core::completion_outcome::not_run, {});
+    if (++lapsed_grants_ >= max_lapsed_grants || gone_)
+    {
+        refuse(
+            {.status = 503,
+             .claim = unsent_claim(),
+             .reason = "grant_lapsed",
+             .retry_after = std::chrono::seconds(1)});
+        return;
+    }
+    ask(plan_.request.retry);
+}
+
 void exchange::on_end(const dispatch_end& end)
 {
     dispatch_ = 0;
@@ -185,6 +193,10 @@
              .reason = "target_unreachable",
              .retry_after = std::chrono::seconds(1)});
         return;
+    case dispatch_result::held_back:
+        --summary_.sendings;
+        on_lapsed();
+        return;
     case dispatch_result::lost:
         maybe_ran_ = true;
         complete(core::completion_outcome::connection_lost, end);
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -108,22 +108,37 @@
     const auto on_output = [](evbuffer*, const evbuffer_cb_info* info, void* context)
     {
         auto* self = static_cast<target_connection*>(context);
-        if (info->n_added > 0 && !self->sent_)
+        if (info->n_added > 0 && !self->sent_ && !self->held_back_)
         {
-            self->sent_ = true;
-            self->sent_at_ = self->timers_.now();
-            self->timers_.cancel(std::exchange(self->connect_timer_, 0));
+            self->on_first_byte();
         }
     };
     evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)), on_output, this);
 }
 
+void target_connection::on_first_byte()
+{
+    timers_.cancel(std::exchange(connect_timer_, 0));
+    if (may_send_())
+    {
+        sent_ = true;
+        sent_at_ = timers_.now();
+        return;
+    }
+    // The bytes are still in this process, and a socket that is shut down takes none of them.
+    held_back_ = true;
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)), SHUT_RDWR);
+    fail_later("held back");
+}
+
 void target_connection::send(const target_request& request, dispatch_hook done)
 {
     assert(!done_ && !spent_);
     done_ = std::move(done);
+    may_send_ = request.may_send;
     sent_ = false;
+    held_back_ = false;
     detail_.clear();
     const evhttp_cmd_type command = command_of(request.method);
     head_request_ = command == EVHTTP_REQ_HEAD;
@@ -260,7 +275,9 @@
     {
         spent_ = true;
         // Without a byte in the output buffer the connection never stood.
-        end.result = sent_ ? dispatch_result::lost : dispatch_result::not_sent;
+        end.result = held_back_ ? dispatch_result::held_back
+                     : sent_    ? dispatch_result::lost
+                                : dispatch_result::not_sent;
     }
     end.service_time = sent_ ? idle_since_ - sent_at_ : core::duration::zero();
     std::exchange(done_, nullptr)(std::move(end));
--- a/packages/entry/tests/http/interruption_test.cpp
+++ b/packages/entry/tests/http/interruption_test.cpp
@@ -164,18 +164,29 @@
     CHECK(target.accepted == 1);
 }
 
-// Guards against a request that is sent under a grant that is no longer valid.
+// Guards against a request that is sent under a grant that is no longer valid, also if it lapses
+// while the connection is made.
 TEST_CASE("a lapsed grant is given back and asked for again")
 {
+    const int allowed = GENERATE(0, 1);
+    const bool kept = GENERATE(false, true);
     path_fixture bench;
     scripted_target target(bench.loop, {});
     bench.grant({target.address()});
-    bench.may_send = false;
+    if (kept)
+    {
+        bench.ask(path_fixture::request("POST"));
+    }
+    bench.asked.clear();
+    bench.completed.clear();
+    target.begun = 0;
+    bench.sends_allowed = allowed;
     const std::string response = bench.ask(path_fixture::request("POST"));
     CHECK(status_of(response) == 503);
     CHECK(field_of(response, "catkintally-outcome") == "not-run");
+    CHECK(field_of(response, "catkintally-reason") == "grant_lapsed");
     CHECK(bench.asked.size() == 3);
     CHECK(bench.completed.size() == 3);
     CHECK_FALSE(bench.asked.back().retry);
-    CHECK(target.accepted == 0);
+    CHECK(target.begun == 0);
 }
--- a/packages/entry/tests/support/path_fixture.cpp
+++ b/packages/entry/tests/support/path_fixture.cpp
@@ -117,7 +117,7 @@
         }
     };
     out.gateway.cancel = [this](core::request_id id) { cancelled.push_back(id); };
-    out.gateway.may_send = [this](core::request_id) { return may_send; };
+    out.gateway.may_send = [this](core::request_id) { return sends_allowed-- > 0; };
     out.gateway.complete = [this](core::completion_report report, auto answer)
     { completed.emplace_back(std::move(report), std::move(answer)); };
     out.joined = [this] { return joined; };
--- a/packages/entry/tests/support/path_fixture.hpp
+++ b/packages/entry/tests/support/path_fixture.hpp
@@ -68,7 +68,8 @@
     std::vector<core::request_id> cancelled;
     std::vector<std::pair<core::completion_report, std::shared_ptr<const core::stored_answer>>>
         completed;
-    bool may_send = true;
+    /// Checks that may still be passed; the gateway says no after them.
+    int sends_allowed = 1'000'000;
     bool joined = true;
     std::unique_ptr<instance> self;
 
