--- a/packages/core/include/catkintally/core/table/table_codec.hpp
+++ b/packages/core/include/catkintally/core/table/table_codec.hpp
@@ -49,4 +49,7 @@
 /// Reads the stored list of failure domains. Fails with a table_error.
 [[nodiscard]] boost::leaf::result<stored_domains> decode_domains(const store_object& object);
 
+/// Change id of a stored object, empty if it has none.
+[[nodiscard]] std::string change_id_in(const store_object& object);
+
 } // namespace catkintally::core
--- a/packages/core/src/table/table_codec.cpp
+++ b/packages/core/src/table/table_codec.cpp
@@ -166,6 +166,13 @@
     return stored;
 }
 
+std::string change_id_in(const store_object& object)
+{
+    boost::system::error_code error;
+    const auto parsed = json::parse(object.value, error);
+    return parsed.is_object() ? change_id_of(parsed.get_object()) : "";
+}
+
 leaf::result<stored_domains> decode_domains(const store_object& object)
 {
     BOOST_LEAF_AUTO(parsed, parse(object));
