Add the links between instances with authentication and numbered events

Three hellos bind both authentication codes to the other side's nonce, because a single signed hello could be replayed.

--- /dev/null
+++ b/packages/entry/include/catkintally/entry/peers/fleet_event_log.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <catkintally/core/fleet/fleet_event.hpp>
+
+namespace catkintally::entry
+{
+
+/// Writes an event of the fleet to the numbered log. Use it as the event hook of a fleet_node.
+void log_fleet_event(
+    core::fleet_event event, const std::vector<std::pair<std::string, std::string>>& fields);
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/include/catkintally/entry/peers/peer_link.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <catkintally/core/fleet/member.hpp>
+#include <catkintally/entry/peers/peer_counters.hpp>
+#include <catkintally/wire/codec/frame_codec.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct bufferevent;
+struct event_base;
+
+namespace catkintally::entry
+{
+
+/// Why a link ended.
+enum class link_end : std::uint8_t
+{
+    /// The peer closed the connection, or it was never established.
+    disconnected,
+    /// A frame was malformed; the stream has lost its framing.
+    malformed,
+    /// Version or authentication code of the hello do not fit, or another instance answered.
+    rejected,
+    /// No valid hello arrived in time.
+    hello_timeout,
+    /// The peer does not read; its output buffer is full.
+    overflow,
+    /// The link leads to this instance itself.
+    own_address
+};
+
+/// Name of the reason for log fields.
+[[nodiscard]] const char* link_end_name(link_end end);
+
+/// Inputs and hooks of a peer_link.
+struct peer_link_options
+{
+    event_base* base = nullptr;
+    /// This instance as named in the hello.
+    core::member self;
+    /// Shared key; empty turns authentication off.
+    std::string key;
+    std::uint64_t nonce = 0;
+    /// Instance that must answer at the dialed address; empty if it is not known.
+    std::string expected_instance;
+    /// The hello exchange is over; messages may be sent.
+    std::function<void()> up;
+    std::function<void(const wire::payloadUnion&)> message;
+    /// Called at most once; the link must not be destroyed inside the call.
+    std::function<void(link_end, const std::string& detail)> ended;
+    peer_counters* counters = nullptr;
+    /// Bytes that may wait for a peer that does not read.
+    std::size_t max_output_bytes = std::size_t{8} << 20;
+};
+
+/// One TCP connection to another instance. The dialing side sends a hello, the accepting side
+/// answers with a hello bound to the dialer's nonce, and the dialer confirms with a second hello
+/// bound to the acceptor's nonce. Messages flow both ways afterwards.
+class peer_link
+{
+public:
+    explicit peer_link(peer_link_options options);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+
+    /// Connects to an "IP:port" address. False if the address cannot be parsed.
+    [[nodiscard]] bool connect(const std::string& address);
+
+    /// Takes over an accepted socket.
+    void accept(int socket);
+
+    /// Sends a message; ends the link if the peer does not read.
+    void send(const std::string& frame);
+
+    /// Peer as named in its hello; set once the link is up.
+    [[nodiscard]] const core::member& peer() const { return *peer_; }
+
+    /// True once the peer has sent a valid hello.
+    [[nodiscard]] bool has_peer() const { return peer_.has_value(); }
+
+    [[nodiscard]] bool is_up() const { return up_; }
+    [[nodiscard]] bool dialed() const { return dialed_; }
+
+private:
+    struct callbacks;
+
+    void prepare();
+    void connected();
+    void read();
+    bool handle_hello(const wire::hello_data& hello);
+    void send_hello(std::uint64_t peer_nonce);
+    void write(const std::string& frame);
+    void end(link_end reason, const std::string& detail);
+
+    peer_link_options options_;
+    bufferevent* buffer_ = nullptr;
+    wire::frame_decoder decoder_;
+    std::optional<core::member> peer_;
+    std::uint64_t peer_nonce_ = 0;
+    bool dialed_ = false;
+    bool up_ = false;
+    bool ended_ = false;
+};
+
+} // namespace catkintally::entry
--- /dev/null
+++ b/packages/entry/src/peers/peer_link.cpp
@@ -0,0 +1,275 @@
+#include <catkintally/entry/peers/peer_link.hpp>
+
+#include <catkintally/entry/peers/hello_auth.hpp>
+#include <catkintally/wire/codec/make_message.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace catkintally::entry
+{
+
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+/// Before a peer has authenticated itself, its frames are at most this large.
+constexpr std::size_t max_hello_bytes = 4096;
+
+/// The hello exchange must be over within this time.
+constexpr timeval hello_limit{.tv_sec = 2, .tv_usec = 0};
+
+/// A link ends when sent bytes are not acknowledged for this time.
+constexpr unsigned unanswered_limit_ms = 5'000;
+
+} // namespace
+
+const char* link_end_name(link_end end)
+{
+    switch (end)
+    {
+    case link_end::disconnected:
+        return "disconnected";
+    case link_end::malformed:
+        return "malformed";
+    case link_end::rejected:
+        return "rejected";
+    case link_end::hello_timeout:
+        return "hello_timeout";
+    case link_end::overflow:
+        return "overflow";
+    case link_end::own_address:
+        return "own_address";
+    }
+    return "unknown";
+}
+
+struct peer_link::callbacks
+{
+    static void on_read(bufferevent*, void* context) { static_cast<peer_link*>(context)->read(); }
+
+    static void on_event(bufferevent*, short what, void* context)
+    {
+        auto* self = static_cast<peer_link*>(context);
+        if ((what & BEV_EVENT_CONNECTED) != 0)
+        {
+            self->connected();
+        }
+        else if ((what & BEV_EVENT_TIMEOUT) != 0)
+        {
+            self->end(link_end::hello_timeout, "");
+        }
+        else
+        {
+            self->end(link_end::disconnected, "");
+        }
+    }
+};
+
+peer_link::peer_link(peer_link_options options)
+    : options_(std::move(options))
+    , decoder_(max_hello_bytes)
+{
+}
+
+peer_link::~peer_link()
+{
+    if (buffer_ != nullptr)
+    {
+        bufferevent_free(buffer_);
+    }
+}
+
+bool peer_link::connect(const std::string& address)
+{
+    sockaddr_storage storage{};
+    int size = sizeof storage;
+    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&storage), &size) !=
+        0)
+    {
+        return false;
+    }
+    dialed_ = true;
+    buffer_ = bufferevent_socket_new(options_.base, -1, BEV_OPT_CLOSE_ON_FREE);
+    prepare();
+    return bufferevent_socket_connect(buffer_, reinterpret_cast<sockaddr*>(&storage), size) == 0;
+}
+
+void peer_link::accept(int socket)
+{
+    buffer_ = bufferevent_socket_new(options_.base, socket, BEV_OPT_CLOSE_ON_FREE);
+    prepare();
+    connected();
+}
+
+void peer_link::prepare()
+{
+    bufferevent_setcb(buffer_, &callbacks::on_read, nullptr, &callbacks::on_event, this);
+    bufferevent_set_timeouts(buffer_, &hello_limit, &hello_limit);
+    bufferevent_enable(buffer_, EV_READ | EV_WRITE);
+}
+
+void peer_link::connected()
+{
+    // Small messages decide on waiting requests, so they are not delayed for larger segments.
+    const int on = 1;
+    const int socket = bufferevent_getfd(buffer_);
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    // A peer whose machine is gone does not close its connection.
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(
+        socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unanswered_limit_ms, sizeof unanswered_limit_ms);
+    if (dialed_)
+    {
+        send_hello(0);
+    }
+}
+
+void peer_link::send_hello(std::uint64_t peer_nonce)
+{
+    auto hello = make_hello(options_.self, options_.key, options_.nonce, peer_nonce);
+    write(wire::encode_frame(wire::make_message(std::move(hello))).value());
+}
+
+void peer_link::write(const std::string& frame)
+{
+    options_.counters->bytes_sent += frame.size();
+    ++options_.counters->messages_sent;
+    bufferevent_write(buffer_, frame.data(), frame.size());
+}
+
+void peer_link::send(const std::string& frame)
+{
+    if (ended_ || !up_)
+    {
+        return;
+    }
+    if (evbuffer_get_length(bufferevent_get_output(buffer_)) + frame.size() >
+        options_.max_output_bytes)
+    {
+        end(link_end::overflow, "");
+        return;
+    }
+    write(frame);
+}
+
+void peer_link::read()
+{
+    evbuffer* input = bufferevent_get_input(buffer_);
+    std::array<std::uint8_t, 16'384> chunk{};
+    while (!ended_)
+    {
+        const int size = evbuffer_remove(input, chunk.data(), chunk.size());
+        if (size <= 0)
+        {
+            return;
+        }
+        options_.counters->bytes_received += static_cast<std::uint64_t>(size);
+        decoder_.append({chunk.data(), static_cast<std::size_t>(size)});
+        bool more = true;
+        while (more && !ended_)
+        {
+            leaf::try_handle_all(
+                [&]() -> leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(message, decoder_.next());
+                    more = message.has_value();
+                    if (!more)
+                    {
+                        return {};
+                    }
+                    ++options_.counters->messages_received;
+                    if (up_)
+                    {
+                        options_.message(*message);
+                    }
+                    else if (const auto* hello = message->Ashello())
+                    {
+                        more = handle_hello(*hello);
+                    }
+                    else
+                    {
+                        end(link_end::rejected, "message before hello");
+                    }
+                    return {};
+                },
+                [&](wire::frame_error error)
+                { end(link_end::malformed, wire::frame_error_name(error)); },
+                [&] { end(link_end::malformed, "unknown"); });
+        }
+    }
+}
+
+bool peer_link::handle_hello(const wire::hello_data& hello)
+{
+    const bool first = !peer_.has_value();
+    // The acceptor's only hello and the dialer's second one are bound to this side's nonce.
+    const std::uint64_t bound_to = dialed_ || !first ? options_.nonce : 0;
+    if (hello.version != peer_protocol_version)
+    {
+        end(link_end::rejected, "version " + std::to_string(hello.version));
+        return false;
+    }
+    if (!verify_hello(hello, options_.key, bound_to))
+    {
+        end(link_end::rejected, "authentication");
+        return false;
+    }
+    const core::member sender = sender_of(hello);
+    if (!first && sender.id != peer_->id)
+    {
+        end(link_end::rejected, "sender changed");
+        return false;
+    }
+    if (sender.id == options_.self.id)
+    {
+        end(link_end::own_address, "");
+        return false;
+    }
+    if (!options_.expected_instance.empty() && sender.id.instance != options_.expected_instance)
+    {
+        end(link_end::rejected, "instance " + sender.id.instance);
+        return false;
+    }
+    peer_ = sender;
+    if (!dialed_ && first)
+    {
+        send_hello(hello.nonce);
+        return true;
+    }
+    if (dialed_)
+    {
+        send_hello(hello.nonce);
+    }
+    up_ = true;
+    decoder_.set_limit(wire::max_envelope_bytes);
+    bufferevent_set_timeouts(buffer_, nullptr, nullptr);
+    options_.up();
+    return true;
+}
+
+void peer_link::end(link_end reason, const std::string& detail)
+{
+    if (ended_)
+    {
+        return;
+    }
+    ended_ = true;
+    up_ = false;
+    bufferevent_disable(buffer_, EV_READ | EV_WRITE);
+    options_.ended(reason, detail);
+}
+
+} // namespace catkintally::entry
