--- a/packages/core/tests/fleet/fleet_takeover_test.cpp
+++ b/packages/core/tests/fleet/fleet_takeover_test.cpp
@@ -29,6 +29,7 @@
 {
     fleet_harness fleet;
     fleet.start({"a", "b", "a", "b", "a"});
+    fleet.warm_up();
     const std::size_t owner = fleet.owner();
     const std::size_t caller = fleet.other({owner, fleet.witness()});
     CHECK(fleet.call_and_wait(caller, "order-1").ran);
--- a/packages/core/tests/fleet/support/fleet_harness.cpp
+++ b/packages/core/tests/fleet/support/fleet_harness.cpp
@@ -26,6 +26,7 @@
         target_row row;
         row.name = "t" + std::to_string(i);
         row.address = "127.0.0.1:" + std::to_string(9000 + i);
+        row.slots = counting_targets::slots;
         row.failure_domain = i % 2 == 0 ? "a" : "b";
         config.targets.push_back(row);
     }
@@ -61,6 +62,18 @@
     }
 }
 
+void fleet_harness::warm_up()
+{
+    for (int i = 0; i < 60; ++i)
+    {
+        call(other({}), {}, true);
+        call(other({0}), {}, true);
+        advance(20ms);
+    }
+    // The phases reach the witness within their refresh interval.
+    advance(1200ms);
+}
+
 std::size_t fleet_harness::start_node(const std::string& domain, std::optional<member> earlier)
 {
     const std::size_t index = nodes.size();
