Mark targets slow by evidence from running and finished requests

Change: evidence is the likelihood ratio of a slowdown of 4, bounded for each request, and the threshold grows with the slots. Requests granted before the mark say nothing more about the target.

--- a/packages/core/include/catkintally/core/admission/service_time_model.hpp
+++ b/packages/core/include/catkintally/core/admission/service_time_model.hpp
@@ -17,8 +17,11 @@
     /// True once there are enough completions to judge by.
     [[nodiscard]] bool ready() const { return count_ >= min_count; }
 
-    /// Share of requests that take longer than `elapsed`; 1 until ready.
-    [[nodiscard]] double survival(duration elapsed) const;
+    /// Logarithm of how much likelier a request takes `elapsed` on a target at a quarter of its
+    /// speed than on a healthy one, for a finished request and for one that is still running. 0
+    /// until ready.
+    [[nodiscard]] double finished_evidence(duration elapsed) const;
+    [[nodiscard]] double running_evidence(duration elapsed) const;
 
     /// Median time; zero until ready.
     [[nodiscard]] duration typical() const;
@@ -33,6 +36,8 @@
     static constexpr unsigned min_count = 16;
 
     [[nodiscard]] double spread() const;
+    /// Distance of the logarithm of the time from its mean, in spreads.
+    [[nodiscard]] double deviation(duration elapsed) const;
 
     unsigned count_ = 0;
     double log_mean_ = 0;
--- a/packages/core/include/catkintally/core/admission/target_admission.hpp
+++ b/packages/core/include/catkintally/core/admission/target_admission.hpp
@@ -77,7 +77,11 @@
     /// Learns from a probe.
     void probed(const completion_report& report, time_point now);
 
-    /// Marks the target slow if its running requests are, taken together, improbably late.
+    /// Logarithm of how much likelier the times of the running and of the last finished requests
+    /// are on a target at a quarter of its speed than on a healthy one.
+    [[nodiscard]] double slowness(const service_time_model& model, time_point now) const;
+
+    /// Marks the target slow if its requests say so.
     void assess(const service_time_model& model, time_point now);
 
     /// Recovery: takes over phase and limit; after the first call, only if they are colder.
@@ -95,13 +99,15 @@
 private:
     void become_cold();
     void become_ejected(time_point now);
-    void succeeded(bool in_time);
+    void become_slow(time_point now);
+    void succeeded(const place& ended, const service_time_model& model, time_point now);
     bool failed(
         const place& ended,
         bool lost,
         const service_time_model& model,
         time_point now,
         bool may_eject);
+    [[nodiscard]] double decayed_evidence(const service_time_model& model, time_point now) const;
     void start_waiting(time_point now);
     void note_report(const completion_report& report, time_point now);
 
@@ -116,6 +122,10 @@
     std::vector<place> places_;
     /// Ends of the held places of failed requests.
     std::vector<time_point> held_;
+    time_point slow_since_{};
+    /// Evidence of finished requests for slowness, as of `evidence_at_`.
+    double evidence_ = 0;
+    time_point evidence_at_{};
     time_point ejected_at_{};
     time_point trial_at_{};
     duration back_off_{};
--- a/packages/core/src/admission/target_admission.cpp
+++ b/packages/core/src/admission/target_admission.cpp
@@ -27,6 +27,22 @@
 /// Longest time for which the place of a failed request is held.
 constexpr duration max_hold = 1s;
 
+/// Evidence at which a target is marked slow: all its slots hold requests well past the late bound,
+/// or finished requests speak against it as well. Lower thresholds find more slow targets but cost
+/// more in wrongly closed places than they save (docs/decisions/admission-policy.md).
+double slow_threshold(const target_row& row)
+{
+    return std::min(2.9 * row.slots, 9.0);
+}
+
+/// How far the evidence must fall below the threshold to end the phase.
+constexpr double slow_hysteresis = 1.0;
+
+/// How long finished requests count, in typical service times, and the bound on their sum. Good
+/// answers only take away evidence: they must not outweigh requests that are late now.
+constexpr int evidence_memory = 5;
+constexpr double max_sum = 4;
+
 /// Order of phases from the coldest.
 int warmth(target_phase phase)
 {
@@ -153,7 +169,7 @@
     switch (report.outcome)
     {
     case completion_outcome::answered:
-        succeeded(!late);
+        succeeded(ended, model, now);
         break;
     case completion_outcome::answered_error:
         prevented = failed(ended, false, model, now, may_eject);
@@ -206,25 +222,27 @@
     {
         return;
     }
-    // For a healthy target, the sum of -ln(survival) over n running requests exceeds these bounds
-    // with a probability of 1 % (gamma distribution with shape n, linear fit for n up to 8).
-    constexpr double first = 4.6;
-    constexpr double each_more = 1.9;
-    double lateness = 0;
-    double bound = first - each_more;
-    for (const place& entry : places_)
+    if (slowness(model, now) > slow_threshold(row_))
     {
-        if (entry.running)
-        {
-            lateness -= std::log(std::max(model.survival(now - entry.started), 1e-12));
-            bound += each_more;
-        }
+        become_slow(now);
     }
-    if (lateness > bound)
+}
+
+double target_admission::slowness(const service_time_model& model, time_point now) const
+{
+    double sum = decayed_evidence(model, now);
+    for (const place& entry : places_)
     {
-        phase_ = target_phase::slow;
-        limit_ = 1;
+        sum += entry.running ? model.running_evidence(now - entry.started) : 0;
     }
+    return sum;
+}
+
+double target_admission::decayed_evidence(const service_time_model& model, time_point now) const
+{
+    const auto memory = static_cast<double>((model.typical() * evidence_memory).count());
+    const auto age = static_cast<double>((now - evidence_at_).count());
+    return memory > 0 ? evidence_ * std::exp(-age / memory) : 0;
 }
 
 void target_admission::restore(target_phase phase, std::uint32_t limit, time_point now)
@@ -252,6 +270,13 @@
     successes_ = 0;
 }
 
+void target_admission::become_slow(time_point now)
+{
+    phase_ = target_phase::slow;
+    limit_ = 1;
+    slow_since_ = now;
+}
+
 void target_admission::become_ejected(time_point now)
 {
     phase_ = target_phase::ejected;
@@ -262,8 +287,15 @@
     trial_at_ = now + back_off_;
 }
 
-void target_admission::succeeded(bool in_time)
+void target_admission::succeeded(
+    const place& ended, const service_time_model& model, time_point now)
 {
+    const duration elapsed = now - ended.started;
+    const bool in_time = elapsed <= model.late_bound();
+    evidence_ =
+        std::clamp(decayed_evidence(model, now) + model.finished_evidence(elapsed), 0.0, max_sum);
+    evidence_at_ = now;
+
     // Own traffic is newer than what an earlier owner knew.
     restored_ = true;
     failures_ = 0;
@@ -292,22 +324,22 @@
         }
         break;
     case target_phase::slow:
-        // A target that stays late after its limit fell is treated as cold.
-        if (in_time)
+        // A target that is late with a request granted in this phase is treated as cold. Those from
+        // before caused the phase and say nothing new.
+        if (!in_time)
         {
-            phase_ = target_phase::warm;
+            if (ended.granted > slow_since_)
+            {
+                become_cold();
+            }
         }
-        else
+        else if (slowness(model, now) < slow_threshold(row_) - slow_hysteresis)
         {
-            become_cold();
+            phase_ = target_phase::warm;
         }
         break;
     case target_phase::warm:
-        if (!in_time)
-        {
-            phase_ = target_phase::slow;
-            limit_ = 1;
-        }
+        assess(model, now);
         break;
     }
 }
