Keep the fixed share off targets that are not warm, and off while the owner has its lease

Cause: in random schedules 219 and 260, a cold target ran more requests than its limit. An instance remembered one no_lease reply for as long as no other reply came. The owner then had its lease again and let the request wait behind blocked cold targets without a reply, and after 300 ms the instance took its fixed share beside the owner. In addition, one answered request counted as proof that a target is warm, although the owner's limit for it had only grown by one. Ruled out: the owner's block of cold targets (it ended only after the fixed share had been used). Before: both seeds fail on the counting target.

--- a/packages/core/include/catkintally/core/fleet/admission_client.hpp
+++ b/packages/core/include/catkintally/core/fleet/admission_client.hpp
@@ -109,11 +109,14 @@
         time_point send_before{};
         /// The grant was taken from the fixed share.
         bool shared = false;
+        /// The owner took the granted target for warm.
+        bool target_warm = false;
     };
     struct service_entry
     {
         /// First refusal for lack of a lease since the last other reply.
         std::optional<time_point> no_lease_since;
+        time_point no_lease_last{};
         /// Targets by name with the time until which they are believed warm.
         std::map<std::string, time_point> warm_until;
         std::map<std::string, std::uint32_t> shared_in_use;
--- a/packages/core/include/catkintally/core/fleet/member.hpp
+++ b/packages/core/include/catkintally/core/fleet/member.hpp
@@ -16,6 +16,7 @@
     std::string instance;
     std::uint64_t incarnation = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): a false finding in the generated comparison.
     auto operator<=>(const member_id&) const = default;
 };
 
--- a/packages/core/include/catkintally/core/fleet/service_owner.hpp
+++ b/packages/core/include/catkintally/core/fleet/service_owner.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,7 @@
         duration retry_after = {},
         const std::string& key_holder = {});
     void drop(request_id id);
+    [[nodiscard]] bool is_warm(const std::string& target);
     void release_key(const active_request& entry);
     void recovered(const recovery_result& result);
     void restore(const recovery_result& result);
@@ -155,6 +157,9 @@
     time_point unproven_until_{};
     time_point cold_blocked_until_{};
     std::uint64_t complete_epoch_ = 0;
+    /// Targets that are warm, read again after the phase of one changed.
+    std::set<std::string> warm_targets_;
+    bool warm_known_ = false;
     /// Timers hold a weak reference, because an owner may end before they fire.
     std::shared_ptr<service_owner*> alive_;
 };
--- a/packages/core/src/fleet/admission_client.cpp
+++ b/packages/core/src/fleet/admission_client.cpp
@@ -198,7 +198,9 @@
         const auto heard = options_.last_heard(owner->id);
         missing = now - std::max(heard.value_or(view_changed_at_), view_changed_at_);
         const auto known = services_.find(service);
-        if (known != services_.end() && known->second.no_lease_since)
+        // An owner that has its lease again may let a request wait without a reply.
+        if (known != services_.end() && known->second.no_lease_since &&
+            now - known->second.no_lease_last <= 2 * owner_reply_limit)
         {
             missing = std::max(missing, now - *known->second.no_lease_since);
         }
@@ -291,10 +293,12 @@
     service_entry& service = services_[reply.service];
     if (reply.code == decision_code::no_lease || reply.code == decision_code::moved)
     {
-        if (!service.no_lease_since)
+        const time_point now = options_.timers->now();
+        if (!service.no_lease_since || now - service.no_lease_last > 2 * owner_reply_limit)
         {
-            service.no_lease_since = options_.timers->now();
+            service.no_lease_since = now;
         }
+        service.no_lease_last = now;
         asking.asked.reset();
         schedule(asking, retry_pause);
         return;
@@ -310,6 +314,7 @@
             schedule(asking, retry_pause);
             return;
         }
+        asking.target_warm = reply.warm;
         grant(asking, reply.target, send_before, false);
         return;
     }
@@ -452,7 +457,7 @@
             break;
         }
     }
-    if (!ended.shared && report.outcome == completion_outcome::answered)
+    if (ended.target_warm && report.outcome == completion_outcome::answered)
     {
         services_[ended.request.service].warm_until[ended.target] = now + warm_belief;
     }
--- a/packages/core/src/fleet/service_owner.cpp
+++ b/packages/core/src/fleet/service_owner.cpp
@@ -54,7 +54,7 @@
         .timers = options_.timers,
         .seed = options_.seed,
         .decide = [this](const admission_decision& decision) { decided(decision); },
-        .phase_changed = {},
+        .phase_changed = [this](const std::string&) { warm_known_ = false; },
         .probe = options_.probe});
 }
 
@@ -65,6 +65,7 @@
     config_ = config;
     records_.set_retention(milliseconds(config.service.key_retention_ms));
     admission_->apply(config, table);
+    warm_known_ = false;
 }
 
 void service_owner::adopt(
@@ -165,6 +166,7 @@
     {
         admission_->restore_phase(state.target, state.phase, state.limit);
     }
+    warm_known_ = false;
     for (const recovered_grant& grant : result.grants)
     {
         admission_->restore_grant(grant.id, grant.target, grant.deadline_left);
@@ -448,10 +450,28 @@
     reply.service = options_.service;
     reply.code = decision_code::granted;
     reply.target = entry.target;
+    reply.warm = is_warm(entry.target);
     reply.validity_us = static_cast<std::uint64_t>(entry.validity.count());
     options_.send(entry.from, wire::make_message(std::move(reply)));
 }
 
+bool service_owner::is_warm(const std::string& target)
+{
+    if (!warm_known_)
+    {
+        warm_known_ = true;
+        warm_targets_.clear();
+        for (const wire::target_state_data& state : admission_->phases())
+        {
+            if (state.phase == wire::target_phase::warm)
+            {
+                warm_targets_.insert(state.target);
+            }
+        }
+    }
+    return warm_targets_.contains(target);
+}
+
 void service_owner::refuse(
     const active_request& entry,
     decision_code code,
--- a/packages/core/tests/fleet/fleet_changes_test.cpp
+++ b/packages/core/tests/fleet/fleet_changes_test.cpp
@@ -67,6 +67,7 @@
     const std::size_t caller = fleet.other({owner, fleet.witness()});
     fleet.work = 200ms;
     std::vector<std::shared_ptr<caller_request>> requests;
+    requests.reserve(20);
     for (int i = 0; i < 20; ++i)
     {
         requests.push_back(fleet.call(i % 2 == 0 ? caller : owner, "order-" + std::to_string(i)));
--- a/packages/core/tests/fleet/fleet_random_schedule_test.cpp
+++ b/packages/core/tests/fleet/fleet_random_schedule_test.cpp
@@ -11,7 +11,7 @@
 // instances.
 TEST_CASE("random schedules of faults keep the invariants and the service resumes")
 {
-    const auto seed = GENERATE(range(1, 21));
+    const auto seed = GENERATE(range(1, 21), values({219, 260}));
     INFO("seed " << seed);
     std::mt19937_64 random(static_cast<std::uint64_t>(seed));
     fleet_harness fleet(static_cast<std::uint64_t>(seed));
