--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
@@ -61,6 +61,9 @@
     void make_cold();
     void set_slow(double factor, core::duration length);
     void set_draining(bool draining);
+    /// Counts starts as if the target drained, but tells nobody: for a target that operators take
+    /// out without its knowledge.
+    void watch_starts(bool watched);
     void set_shedding(bool shedding) { shedding_ = shedding; }
     void set_failing(bool failing) { failing_ = failing; }
     void set_report(report_mode mode) { report_ = mode; }
@@ -100,6 +103,7 @@
     bool cold_ = false;
     bool down_ = false;
     bool draining_ = false;
+    bool watched_ = false;
     bool shedding_ = false;
     bool failing_ = false;
     report_mode report_ = report_mode::honest;
--- a/packages/stand_ins/src/target/target_control.cpp
+++ b/packages/stand_ins/src/target/target_control.cpp
@@ -45,7 +45,7 @@
         return value.is_number();
     }
     return (name == "drain" || name == "shed" || name == "fail" || name == "cold" ||
-            name == "crash") &&
+            name == "crash" || name == "watch_starts") &&
            value.is_bool();
 }
 
@@ -76,6 +76,10 @@
     {
         target.set_draining(*drain);
     }
+    if (const bool* watched = flag("watch_starts"))
+    {
+        target.watch_starts(*watched);
+    }
     if (const bool* shed = flag("shed"))
     {
         target.set_shedding(*shed);
--- a/packages/stand_ins/src/target/target_model.cpp
+++ b/packages/stand_ins/src/target/target_model.cpp
@@ -125,7 +125,7 @@
         counters.max_running_cold =
             std::max<std::uint64_t>(counters.max_running_cold, running_.size());
     }
-    if (draining_)
+    if (draining_ || watched_)
     {
         ++counters.started_after_drain;
         counters.last_start_after_drain_ms = static_cast<std::uint64_t>(
@@ -249,6 +249,12 @@
     drained_at_ = timers_.now();
 }
 
+void target_model::watch_starts(bool watched)
+{
+    watched_ = watched;
+    drained_at_ = timers_.now();
+}
+
 core::duration target_model::draw_service_time()
 {
     // 53 random bits give the same value with every standard library.
