--- a/packages/stand_ins/include/catkintally/stand_ins/load/load_summary.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/load/load_summary.hpp
@@ -29,8 +29,12 @@
     void note_attempt(call_result result, bool own_answer);
     /// Final result of a request that was sent first at `sent`.
     void note_final(
-        bool order, const std::string& key, call_result result, unsigned attempts,
-        core::duration sent, core::duration ended);
+        bool order,
+        const std::string& key,
+        call_result result,
+        unsigned attempts,
+        core::duration sent,
+        core::duration ended);
 
     /// Longest time between two answered requests so far.
     [[nodiscard]] core::duration longest_gap() const { return longest_gap_; }
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_control.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_control.hpp
@@ -25,7 +25,10 @@
 public:
     /// The arguments must outlive this object. Throws std::runtime_error if the port is taken.
     target_control(
-        runtime::event_loop& loop, const std::string& address, std::uint16_t port, target_log& log,
+        runtime::event_loop& loop,
+        const std::string& address,
+        std::uint16_t port,
+        target_log& log,
         std::vector<std::unique_ptr<target_server>>& servers);
     ~target_control();
     target_control(const target_control&) = delete;
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_log.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_log.hpp
@@ -44,8 +44,8 @@
     counters& of(const std::string& target) { return targets_[target]; }
 
     /// Notes a start or a finish; requests without a key count only in the counters.
-    void note_start(
-        const std::string& target, const std::string& key, const std::string& request_id);
+    void
+    note_start(const std::string& target, const std::string& key, const std::string& request_id);
     void note_finish(const std::string& target, const std::string& key);
 
     [[nodiscard]] const std::map<std::string, key_entry>& keys() const { return keys_; }
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
@@ -27,13 +27,13 @@
 /// One request at a target.
 struct target_request
 {
-    std::string key;
-    std::string request_id;
-    std::string path;
+    std::string key{};
+    std::string request_id{};
+    std::string path{};
     /// Work that stops when its caller goes away.
     bool cancellable = true;
-    std::optional<core::duration> deadline;
-    std::function<void(target_answer)> answer;
+    std::optional<core::duration> deadline{};
+    std::function<void(target_answer)> answer{};
 };
 
 /// Behaviour of one target without sockets: slots, cold start, slowdown, shedding and crashes. The
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_server.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_server.hpp
@@ -20,8 +20,12 @@
     /// `loop`, `timers` and `log` must outlive this object. Throws std::runtime_error if the port
     /// is taken.
     target_server(
-        runtime::event_loop& loop, core::timer_service& timers, target_log& log,
-        const target_options& options, std::string address, std::uint16_t port,
+        runtime::event_loop& loop,
+        core::timer_service& timers,
+        target_log& log,
+        const target_options& options,
+        std::string address,
+        std::uint16_t port,
         std::string key_header);
     ~target_server();
     target_server(const target_server&) = delete;
--- a/packages/stand_ins/programs/target_stand_in.cpp
+++ b/packages/stand_ins/programs/target_stand_in.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr const char* usage = R"(Targets for tests and measurements: many in one process, one port each.
+constexpr const char* usage =
+    R"(Targets for tests and measurements: many in one process, one port each.
 
 Prints "listening FIRST-LAST" when ready. The targets are named PREFIX1, PREFIX2 and so on.
 GET /log on the admin port shows what ran and how often; POST /control changes a target.
--- a/packages/stand_ins/src/load/load_driver.cpp
+++ b/packages/stand_ins/src/load/load_driver.cpp
@@ -85,8 +85,8 @@
         request.body = "{\"order\":\"" + sender.key + "\"}";
     }
     client_.call(
-        std::move(request), [this, id](const runtime::http_response& response)
-        { on_response(id, response); });
+        std::move(request),
+        [this, id](const runtime::http_response& response) { on_response(id, response); });
 }
 
 void load_driver::on_response(std::uint64_t id, const runtime::http_response& response)
--- a/packages/stand_ins/src/load/load_summary.cpp
+++ b/packages/stand_ins/src/load/load_summary.cpp
@@ -61,7 +61,11 @@
 }
 
 void load_summary::note_final(
-    bool order, const std::string& key, call_result result, unsigned attempts, core::duration sent,
+    bool order,
+    const std::string& key,
+    call_result result,
+    unsigned attempts,
+    core::duration sent,
     core::duration ended)
 {
     ++final_[order ? 1 : 0][static_cast<std::size_t>(result)];
--- a/packages/stand_ins/src/target/target_control.cpp
+++ b/packages/stand_ins/src/target/target_control.cpp
@@ -107,7 +107,10 @@
 }
 
 target_control::target_control(
-    runtime::event_loop& loop, const std::string& address, std::uint16_t port, target_log& log,
+    runtime::event_loop& loop,
+    const std::string& address,
+    std::uint16_t port,
+    target_log& log,
     std::vector<std::unique_ptr<target_server>>& servers)
     : log_(log)
     , servers_(servers)
--- a/packages/stand_ins/src/target/target_model.cpp
+++ b/packages/stand_ins/src/target/target_model.cpp
@@ -75,8 +75,8 @@
         request.answer({.status = options_.shed_status, .not_run = true});
         return handle;
     }
-    const core::time_point deadline = request.deadline ? timers_.now() + *request.deadline
-                                                       : core::time_point::max();
+    const core::time_point deadline =
+        request.deadline ? timers_.now() + *request.deadline : core::time_point::max();
     waiting_.emplace(handle, work{.request = std::move(request), .deadline = deadline});
     queue_.push_back(handle);
     start_queued();
@@ -268,8 +268,8 @@
     {
         scale *= collapse_factor;
     }
-    return core::duration(static_cast<std::int64_t>(
-        scale * static_cast<double>(options_.service_time.count())));
+    return core::duration(
+        static_cast<std::int64_t>(scale * static_cast<double>(options_.service_time.count())));
 }
 
 std::string target_model::state_text() const
--- a/packages/stand_ins/src/target/target_server.cpp
+++ b/packages/stand_ins/src/target/target_server.cpp
@@ -49,8 +49,13 @@
 } // namespace
 
 target_server::target_server(
-    runtime::event_loop& loop, core::timer_service& timers, target_log& log,
-    const target_options& options, std::string address, std::uint16_t port, std::string key_header)
+    runtime::event_loop& loop,
+    core::timer_service& timers,
+    target_log& log,
+    const target_options& options,
+    std::string address,
+    std::uint16_t port,
+    std::string key_header)
     : loop_(loop)
     , timers_(timers)
     , address_(std::move(address))
@@ -147,8 +152,7 @@
     const std::string deadline = header(request, "catkintally-deadline-ms");
     if (!deadline.empty())
     {
-        submitted.deadline =
-            std::chrono::milliseconds(std::strtol(deadline.c_str(), nullptr, 10));
+        submitted.deadline = std::chrono::milliseconds(std::strtol(deadline.c_str(), nullptr, 10));
     }
     const std::uint64_t id = current.id;
     submitted.answer = [this, id](const target_answer& given) { answer(id, given); };
@@ -162,8 +166,7 @@
         return;
     }
     found->second->handle = handle;
-    bufferevent* buffer =
-        evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+    bufferevent* buffer = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
     found->second->caller_gone = event_new(
         loop_.base(), bufferevent_getfd(buffer), EV_CLOSED,
         [](evutil_socket_t, short, void* context)
