--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_control.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_control.hpp
@@ -19,13 +19,16 @@
 
 /// Admin port of the target stand-in: GET /log, GET /status, POST /reset and POST /control. A
 /// control object names its target ("all" for every target) and any of: slow_factor with slow_ms,
-/// drain, shed, fail, cold, crash, report.
+/// drain, watch_starts, shed, fail, cold, crash, report.
 class target_control
 {
 public:
     /// The arguments must outlive this object. Throws std::runtime_error if the port is taken.
     target_control(
-        runtime::event_loop& loop, const std::string& address, std::uint16_t port, target_log& log,
+        runtime::event_loop& loop,
+        const std::string& address,
+        std::uint16_t port,
+        target_log& log,
         std::vector<std::unique_ptr<target_server>>& servers);
     ~target_control();
     target_control(const target_control&) = delete;
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
@@ -27,13 +27,13 @@
 /// One request at a target.
 struct target_request
 {
-    std::string key;
-    std::string request_id;
-    std::string path;
+    std::string key{};
+    std::string request_id{};
+    std::string path{};
     /// Work that stops when its caller goes away.
     bool cancellable = true;
-    std::optional<core::duration> deadline;
-    std::function<void(target_answer)> answer;
+    std::optional<core::duration> deadline{};
+    std::function<void(target_answer)> answer{};
 };
 
 /// Behaviour of one target without sockets: slots, cold start, slowdown, shedding and crashes. The
@@ -61,6 +61,9 @@
     void make_cold();
     void set_slow(double factor, core::duration length);
     void set_draining(bool draining);
+    /// Counts starts as if the target drained, but tells nobody: for a target that operators take
+    /// out without its knowledge.
+    void watch_starts(bool watched);
     void set_shedding(bool shedding) { shedding_ = shedding; }
     void set_failing(bool failing) { failing_ = failing; }
     void set_report(report_mode mode) { report_ = mode; }
@@ -100,6 +103,7 @@
     bool cold_ = false;
     bool down_ = false;
     bool draining_ = false;
+    bool watched_ = false;
     bool shedding_ = false;
     bool failing_ = false;
     report_mode report_ = report_mode::honest;
--- a/packages/stand_ins/src/target/target_control.cpp
+++ b/packages/stand_ins/src/target/target_control.cpp
@@ -45,7 +45,7 @@
         return value.is_number();
     }
     return (name == "drain" || name == "shed" || name == "fail" || name == "cold" ||
-            name == "crash") &&
+            name == "crash" || name == "watch_starts") &&
            value.is_bool();
 }
 
@@ -76,6 +76,10 @@
     {
         target.set_draining(*drain);
     }
+    if (const bool* watched = flag("watch_starts"))
+    {
+        target.watch_starts(*watched);
+    }
     if (const bool* shed = flag("shed"))
     {
         target.set_shedding(*shed);
@@ -103,7 +107,10 @@
 }
 
 target_control::target_control(
-    runtime::event_loop& loop, const std::string& address, std::uint16_t port, target_log& log,
+    runtime::event_loop& loop,
+    const std::string& address,
+    std::uint16_t port,
+    target_log& log,
     std::vector<std::unique_ptr<target_server>>& servers)
     : log_(log)
     , servers_(servers)
--- a/packages/stand_ins/src/target/target_model.cpp
+++ b/packages/stand_ins/src/target/target_model.cpp
@@ -75,8 +75,8 @@
         request.answer({.status = options_.shed_status, .not_run = true});
         return handle;
     }
-    const core::time_point deadline = request.deadline ? timers_.now() + *request.deadline
-                                                       : core::time_point::max();
+    const core::time_point deadline =
+        request.deadline ? timers_.now() + *request.deadline : core::time_point::max();
     waiting_.emplace(handle, work{.request = std::move(request), .deadline = deadline});
     queue_.push_back(handle);
     start_queued();
@@ -125,7 +125,7 @@
         counters.max_running_cold =
             std::max<std::uint64_t>(counters.max_running_cold, running_.size());
     }
-    if (draining_)
+    if (draining_ || watched_)
     {
         ++counters.started_after_drain;
         counters.last_start_after_drain_ms = static_cast<std::uint64_t>(
@@ -249,6 +249,12 @@
     drained_at_ = timers_.now();
 }
 
+void target_model::watch_starts(bool watched)
+{
+    watched_ = watched;
+    drained_at_ = timers_.now();
+}
+
 core::duration target_model::draw_service_time()
 {
     // 53 random bits give the same value with every standard library.
@@ -262,8 +268,8 @@
     {
         scale *= collapse_factor;
     }
-    return core::duration(static_cast<std::int64_t>(
-        scale * static_cast<double>(options_.service_time.count())));
+    return core::duration(
+        static_cast<std::int64_t>(scale * static_cast<double>(options_.service_time.count())));
 }
 
 std::string target_model::state_text() const
