--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -32,7 +32,7 @@
     /// Fields without framing; the connection adds that.
     header_list fields;
     shared_body body;
-    /// Asked directly before the first byte; false holds the request back.
+    /// Asked once, directly before the first byte; false holds the request back.
     std::function<bool()> may_send;
 };
 
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -133,13 +133,6 @@
         refuse({.status = 504, .claim = unsent_claim(), .reason = "deadline_expired"});
         return;
     }
-    // Checked here to spare a connection, and again directly before the first byte: connecting may
-    // outlast the grant.
-    if (!context_.gateway->may_send(plan_.request.id))
-    {
-        on_lapsed();
-        return;
-    }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left());
     const caller_request& request = call_->request();
     ++summary_.sendings;
@@ -154,6 +147,7 @@
                                  .request_id = plan_.request_id,
                                  .caller_address = request.address}),
             .body = request.body,
+            // The fleet marks the grant as used, so this is asked once for each grant.
             .may_send = [gateway = context_.gateway, id = plan_.request.id]
             { return gateway->may_send(id); }},
         [weak = weak_from_this()](const dispatch_end& end)
