--- a/packages/entry/include/catkintally/entry/targets/target_pool.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_pool.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,12 +56,15 @@
     {
         std::size_t busy = 0;
         std::vector<connection_ptr> kept;
+        /// When the last lost answer was logged.
+        std::optional<core::time_point> logged;
     };
 
     void start(dispatch_id id);
     void end(dispatch_id id, dispatch_end result);
     connection_ptr take_kept(target_state& state);
     void retire(connection_ptr connection);
+    void log_lost(const std::string& address, target_state& state, const std::string& detail);
     void sweep();
 
     runtime::event_loop& loop_;
--- a/packages/entry/programs/catkintally.cpp
+++ b/packages/entry/programs/catkintally.cpp
@@ -11,6 +11,8 @@
 #include <map>
 #include <string>
 
+#include <sys/resource.h>
+
 namespace
 {
 
@@ -36,9 +38,22 @@
 
 constexpr const char* version = "catkintally 0.1.0";
 
+/// Every caller and every target connection costs a descriptor, and the usual soft limit of 1,024
+/// is below the connections of one service.
+void raise_descriptor_limit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+    {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 /// Runs an instance until SIGTERM or SIGINT.
 int serve(const runtime::settings& values)
 {
+    raise_descriptor_limit();
     runtime::event_loop loop;
     runtime::libevent_timer_service timers(loop);
     entry::instance self(loop, timers, values, {});
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/targets/target_pool.hpp>
+#include <catkintally/runtime/log/event_log.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -103,9 +104,24 @@
     {
         retire(std::move(entry.connection));
     }
+    if (result.result == dispatch_result::lost)
+    {
+        log_lost(entry.address, state, result.detail);
+    }
     entry.done(std::move(result));
 }
 
+void target_pool::log_lost(
+    const std::string& address, target_state& state, const std::string& detail)
+{
+    if (!state.logged || timers_.now() - *state.logged >= std::chrono::seconds(1))
+    {
+        state.logged = timers_.now();
+        log_event(
+            runtime::event_id::target_answer_lost, {{"address", address}, {"detail", detail}});
+    }
+}
+
 bool target_pool::is_sent(dispatch_id id) const
 {
     const auto found = running_.find(id);
