--- a/packages/entry/include/catkintally/entry/admin/admin_server.hpp
+++ b/packages/entry/include/catkintally/entry/admin/admin_server.hpp
@@ -40,6 +40,12 @@
     /// Adds or replaces one member of the dump.
     void add_section(const std::string& name, std::function<boost::json::value()> dump);
 
+    /// Answers GET `path`?`parameter`=TEXT with the JSON that `find` returns for TEXT.
+    void add_query(
+        const std::string& path,
+        const std::string& parameter,
+        std::function<boost::json::value(const std::string&)> find);
+
 private:
     void on_request(evhttp_request* request);
 
@@ -47,6 +53,12 @@
     const runtime::metrics_registry& metrics_;
     std::function<bool()> healthy_;
     std::map<std::string, std::function<boost::json::value()>> sections_;
+    struct query
+    {
+        std::string parameter;
+        std::function<boost::json::value(const std::string&)> find;
+    };
+    std::map<std::string, query, std::less<>> queries_;
     evhttp* server_ = nullptr;
     evhttp_bound_socket* bound_ = nullptr;
 };
--- a/packages/entry/programs/catkintally.cpp
+++ b/packages/entry/programs/catkintally.cpp
@@ -1,4 +1,4 @@
-#include <catkintally/entry/instance.hpp>
+#include <catkintally/entry/process/instance_process.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 #include <catkintally/runtime/settings/settings_loader.hpp>
 #include <catkintally/runtime/time/libevent_timer_service.hpp>
@@ -41,8 +41,8 @@
 {
     runtime::event_loop loop;
     runtime::libevent_timer_service timers(loop);
-    entry::instance self(loop, timers, values, {});
-    if (!self.listen())
+    entry::instance_process self(loop, timers, values);
+    if (!self.start())
     {
         return 1;
     }
--- a/packages/entry/src/admin/admin_server.cpp
+++ b/packages/entry/src/admin/admin_server.cpp
@@ -3,6 +3,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 
 #include <string_view>
 #include <utility>
@@ -26,6 +27,20 @@
     evbuffer_free(body);
 }
 
+/// Decoded value of one query parameter, empty if it is missing.
+std::string parameter_of(std::string_view uri, const std::string& name)
+{
+    evkeyvalq parameters{};
+    if (evhttp_parse_query(std::string(uri).c_str(), &parameters) != 0)
+    {
+        return {};
+    }
+    const char* found = evhttp_find_header(&parameters, name.c_str());
+    std::string value = found != nullptr ? found : "";
+    evhttp_clear_headers(&parameters);
+    return value;
+}
+
 } // namespace
 
 admin_server::admin_server(
@@ -76,6 +91,14 @@
     sections_[name] = std::move(dump);
 }
 
+void admin_server::add_query(
+    const std::string& path,
+    const std::string& parameter,
+    std::function<boost::json::value(const std::string&)> find)
+{
+    queries_[path] = {parameter, std::move(find)};
+}
+
 void admin_server::on_request(evhttp_request* request)
 {
     const std::string_view uri = evhttp_request_get_uri(request);
@@ -98,6 +121,13 @@
         }
         answer(request, 200, "application/json", boost::json::serialize(dump) + "\n");
     }
+    else if (const auto found = queries_.find(path); found != queries_.end())
+    {
+        const std::string text = parameter_of(uri, found->second.parameter);
+        answer(
+            request, 200, "application/json",
+            boost::json::serialize(found->second.find(text)) + "\n");
+    }
     else
     {
         answer(request, 404, "text/plain", "not found\n");
