--- a/packages/ctl/include/catkintally/ctl/table/table_row.hpp
+++ b/packages/ctl/include/catkintally/ctl/table/table_row.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace catkintally::ctl
@@ -30,7 +31,12 @@
     std::string service{};
     std::string name{};
 
-    auto operator<=>(const row_id&) const = default;
+    bool operator==(const row_id&) const = default;
+
+    bool operator<(const row_id& other) const
+    {
+        return std::tie(kind, service, name) < std::tie(other.kind, other.service, other.name);
+    }
 };
 
 /// How the row is named in messages, for example "target stock/t1".
--- a/packages/ctl/src/command/fleet_commands.cpp
+++ b/packages/ctl/src/command/fleet_commands.cpp
@@ -34,6 +34,7 @@
 std::vector<std::string> admin_addresses(const std::vector<listed_instance>& listed)
 {
     std::vector<std::string> addresses;
+    addresses.reserve(listed.size());
     for (const auto& each : listed)
     {
         addresses.push_back(each.admin);
--- a/packages/ctl/src/command/table_commands.cpp
+++ b/packages/ctl/src/command/table_commands.cpp
@@ -288,8 +288,8 @@
         if (equals == std::string::npos || column == names.end() || column == names.begin())
         {
             return fail(
-                exit_code::usage, '\'' + assignment + "' must be COLUMN=VALUE, and a " + kind +
-                                      "'s name cannot be changed");
+                exit_code::usage,
+                '\'' + assignment + "' must be COLUMN=VALUE with a column other than the name");
         }
         wanted.values[static_cast<std::size_t>(column - names.begin())] =
             assignment.substr(equals + 1);
