Count the stop limit per wait for the store

Cause: the limit ran from the start of the planned stop, so after long requests the removal from the view was not awaited at all.

--- a/packages/core/src/fleet/fleet_node.cpp
+++ b/packages/core/src/fleet/fleet_node.cpp
@@ -282,7 +282,8 @@
     }
     const view& current = views_.current();
     const member* listed = current.find(views_.self().id);
-    const bool overdue = options_.timers->now() - stop_started_ >= options_.stop_limit;
+    const time_point now = options_.timers->now();
+    const bool overdue = now - stop_started_ >= options_.stop_limit;
     const bool last = std::none_of(
         current.members.begin(), current.members.end(),
         [&](const member& entry) { return !entry.leaving && entry.id != views_.self().id; });
@@ -290,10 +291,13 @@
     const bool role_ended = listed == nullptr || listed->leaving || last || overdue;
     if (!retiring_ && role_ended && client_.idle() && (!options_.idle || options_.idle()))
     {
+        // The limit bounds each wait for the store, not the time that requests take in between.
         retiring_ = true;
+        stop_started_ = now;
         views_.retire();
     }
-    if (retiring_ && (current.find_instance(views_.self().id.instance) == nullptr || overdue))
+    if (retiring_ && (views_.current().find_instance(views_.self().id.instance) == nullptr ||
+                      now - stop_started_ >= options_.stop_limit))
     {
         const auto done = std::exchange(stopped_, {});
         done();
