--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_server.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_server.hpp
@@ -48,7 +48,6 @@
     std::uint16_t port_;
     std::string key_header_;
     evhttp* http_ = nullptr;
-    core::timer_id reopen_timer_ = 0;
     std::uint64_t next_id_ = 1;
     std::map<std::uint64_t, std::unique_ptr<exchange>> exchanges_;
     target_model model_;
--- a/packages/stand_ins/src/target/target_model.cpp
+++ b/packages/stand_ins/src/target/target_model.cpp
@@ -69,7 +69,7 @@
         return handle;
     }
     const bool expired = request.deadline && *request.deadline <= core::duration::zero();
-    if (shedding_ || expired || running_.size() + queue_.size() >= 2 * options_.slots)
+    if (shedding_ || expired || running_.size() + queue_.size() >= std::size_t{2} * options_.slots)
     {
         ++log_.of(options_.name).shed;
         request.answer({.status = options_.shed_status, .not_run = true});
