Send one Host field from the control plane's HTTP client

Cause: the client added its own Host field beside the one that the load driver sets, so every instance refused every request of the demo as malformed (2,733 of 2,819; the refusals were true). Ruled out: admission and routing, since curl with one Host field was served. The demo passed in the first state, so it now fails if a phase has no answers.

--- a/packages/runtime/src/http/http_client.cpp
+++ b/packages/runtime/src/http/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/time.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace catkintally::runtime
@@ -136,7 +137,14 @@
     started.connection = take_connection(started);
     auto* request = evhttp_request_new(&http_client::on_response, &started);
     auto* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", core::to_string(started.request.address).c_str());
+    // A caller's own Host field replaces the address; a request with two is malformed.
+    const auto& fields = started.request.headers;
+    const bool has_host = std::any_of(
+        fields.begin(), fields.end(), [](const auto& field) { return field.first == "Host"; });
+    if (!has_host)
+    {
+        evhttp_add_header(headers, "Host", core::to_string(started.request.address).c_str());
+    }
     if (!started.request.idempotent)
     {
         evhttp_add_header(headers, "Connection", "close");
--- a/packages/runtime/tests/http/http_client_test.cpp
+++ b/packages/runtime/tests/http/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -59,6 +60,15 @@
         const reaction next =
             self.received < self.script.size() ? self.script[self.received] : reaction::answer;
         ++self.received;
+        self.hosts.clear();
+        for (const auto* field = evhttp_request_get_input_headers(request)->tqh_first;
+             field != nullptr; field = field->next.tqe_next)
+        {
+            if (std::string_view(field->key) == "Host")
+            {
+                self.hosts.emplace_back(field->value);
+            }
+        }
         auto* connection = evhttp_request_get_connection(request);
         char* host = nullptr;
         ev_uint16_t peer_port = 0;
@@ -80,6 +90,8 @@
     std::vector<reaction> script;
     std::size_t received = 0;
     std::set<std::uint16_t> peer_ports;
+    /// Host fields of the newest request.
+    std::vector<std::string> hosts;
 };
 
 } // namespace
@@ -204,3 +216,25 @@
     REQUIRE(run_until(loop, timers, [&] { return second_called; }));
     CHECK_FALSE(cancelled_called);
 }
+
+// Guards against requests with two Host fields, which every correct server refuses as malformed.
+TEST_CASE("a request has exactly one Host field")
+{
+    event_loop loop;
+    libevent_timer_service timers(loop);
+    scripted_server server(loop, timers);
+    http_client client(loop, timers);
+    const std::string address = "127.0.0.1:" + std::to_string(server.port);
+    const std::vector<std::pair<std::vector<std::pair<std::string, std::string>>, std::string>>
+        cases = {{{}, address}, {{{"Host", "lookup.test"}}, "lookup.test"}};
+    for (const auto& [headers, expected] : cases)
+    {
+        http_request request{
+            .address = {.host = "127.0.0.1", .port = server.port}, .deadline = 20s};
+        request.headers = headers;
+        bool done = false;
+        client.call(request, [&](const auto&) { done = true; });
+        REQUIRE(run_until(loop, timers, [&] { return done; }));
+        CHECK(server.hosts == std::vector<std::string>{expected});
+    }
+}
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -69,6 +69,10 @@
         print(f"other results: {others}; longest time without an answer: "
               f"{summary['longest_gap_ms']:.0f} ms; refused by collapsing cold targets: "
               f"{sum(t['refused_cold'] for t in log['targets'].values())}")
+        for kind in ("lookup", "order"):
+            for phase, values in zip(phases, summary["classes"][kind]["phases"]):
+                if values["answered"] == 0:
+                    problems.append(f"no {kind} was answered in phase '{phase}'")
         if found["false_not_run"]:
             problems.append(f"refused as not run but run: {found['false_not_run'][:5]}")
         if totals["wrong_answers"]:
