--- a/packages/platform/include/catkintally/platform/table/table_watcher.hpp
+++ b/packages/platform/include/catkintally/platform/table/table_watcher.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace catkintally::platform
@@ -24,7 +25,8 @@
     /// Both must outlive the watcher.
     core::object_store* store = nullptr;
     core::timer_service* timers = nullptr;
-    core::back_off_options back_off{};
+    /// Seeded at random, so that instances that lost the store together do not return together.
+    core::back_off_options back_off{.seed = std::random_device{}()};
     /// Receives each revision that comes into force. Revisions only rise.
     std::function<void(std::shared_ptr<const core::table_snapshot>)> publish;
     /// Told of each revision that is not applied; may be empty.
