--- a/packages/core/tests/fleet/fleet_changes_test.cpp
+++ b/packages/core/tests/fleet/fleet_changes_test.cpp
@@ -183,3 +183,37 @@
     CHECK(fleet.targets.total() >= 4);
     fleet.check_invariants();
 }
+
+// Guards against the use of a grant whose owner was replaced between the grant and the send.
+TEST_CASE("a grant of an earlier epoch may not be used")
+{
+    fleet_harness fleet;
+    fleet.start({"a", "b", "a", "b"});
+    fleet.warm_up();
+    const std::size_t caller = fleet.other({fleet.owner(), fleet.witness()});
+    const admission_gateway gateway = fleet.nodes[caller]->fleet->gateway();
+    const bool change = GENERATE(false, true);
+    std::optional<admission_answer> answer;
+    gateway.ask(
+        {.id = 9'000,
+         .service = "desk",
+         .instance = {},
+         .failure_domain = {},
+         .idempotent = false,
+         .key = "order-1",
+         .fingerprint = 0,
+         .deadline_left = 3s,
+         .retry = false,
+         .excluded_targets = {}},
+        [&](admission_answer given) { answer = std::move(given); });
+    fleet.advance(20ms);
+    REQUIRE(answer);
+    REQUIRE(answer->code == decision_code::granted);
+    if (change)
+    {
+        fleet.start_node("a");
+        fleet.advance(50ms);
+    }
+    REQUIRE(fleet.clock.now() < answer->send_before);
+    CHECK(gateway.may_send(9'000) == !change);
+}
--- a/packages/core/tests/fleet/support/fleet_harness.cpp
+++ b/packages/core/tests/fleet/support/fleet_harness.cpp
@@ -74,7 +74,8 @@
     advance(1200ms);
 }
 
-std::size_t fleet_harness::start_node(const std::string& domain, std::optional<member> earlier)
+std::size_t
+fleet_harness::start_node(const std::string& domain, const std::optional<member>& earlier)
 {
     const std::size_t index = nodes.size();
     auto added = std::make_unique<node>();
@@ -206,11 +207,11 @@
          .deadline_left = 3s,
          .retry = false,
          .excluded_targets = {}},
-        [this, request](admission_answer answer) { on_answer(request, std::move(answer)); });
+        [this, request](const admission_answer& answer) { on_answer(request, answer); });
 }
 
 void fleet_harness::on_answer(
-    const std::shared_ptr<caller_request>& request, admission_answer answer)
+    const std::shared_ptr<caller_request>& request, const admission_answer& answer)
 {
     if (answer.code != decision_code::granted)
     {
--- a/packages/core/tests/fleet/support/fleet_harness.hpp
+++ b/packages/core/tests/fleet/support/fleet_harness.hpp
@@ -63,7 +63,7 @@
     void start(const std::vector<std::string>& domains, bool wait = true);
     /// Sends requests until every target is warm.
     void warm_up();
-    std::size_t start_node(const std::string& domain, std::optional<member> earlier = {});
+    std::size_t start_node(const std::string& domain, const std::optional<member>& earlier = {});
     /// Ends a process; with `restart`, the same instance starts again at the same address.
     void kill(std::size_t index);
     std::size_t restart(std::size_t index);
@@ -101,7 +101,7 @@
 
 private:
     void deliver(std::size_t from, const member_id& to, wire::payloadUnion message);
-    void on_answer(const std::shared_ptr<caller_request>& request, admission_answer answer);
+    void on_answer(const std::shared_ptr<caller_request>& request, const admission_answer& answer);
     void ask(const std::shared_ptr<caller_request>& request);
     void run_at_target(const std::shared_ptr<caller_request>& request, const std::string& target);
 
--- a/packages/wire/tests/codec/frame_codec_test.cpp
+++ b/packages/wire/tests/codec/frame_codec_test.cpp
@@ -116,5 +116,6 @@
 {
     answer_reply_data data;
     data.body.resize(max_envelope_bytes + 1);
-    CHECK_FALSE(encode_frame(make_message(std::move(data))));
+    const payloadUnion message = make_message(std::move(data));
+    CHECK_FALSE(encode_frame(message));
 }
