--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -5,6 +5,9 @@
 build_dir=${CATKINTALLY_BUILD_DIR:-build}
 name=${1:?usage: bench.sh NAME [ARGUMENTS]}
 shift
+if [ "$name" = faults ]; then
+    exec python3 tools/bench_faults.py "$@"
+fi
 program="$build_dir/bin/${name}_bench"
 if [ ! -x "$program" ]; then
     echo "bench: no measurement named '$name'" >&2
