--- a/packages/stand_ins/include/catkintally/stand_ins/load/load_options.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/load/load_options.hpp
@@ -21,8 +21,9 @@
     core::duration length = std::chrono::seconds(10);
     /// Times since the start at which a new phase begins.
     std::vector<core::duration> marks;
-    /// Services are selected by path: the HTTP client sets the Host header itself.
+    std::string lookup_host = "lookup.test";
     std::string lookup_path = "/lookup";
+    std::string order_host = "order.test";
     std::string order_path = "/order";
     std::string key_header = "idempotency-key";
     /// Start of every idempotency key.
--- a/packages/stand_ins/programs/load_driver.cpp
+++ b/packages/stand_ins/programs/load_driver.cpp
@@ -27,8 +27,8 @@
   --orders=RATE       Orders a second [default: 20].
   --seconds=N         How long new requests start [default: 10].
   --marks=LIST        Seconds at which a new phase starts, separated by commas [default: ].
-  --lookup-path=PATH  Start of the path of lookups [default: /lookup].
-  --order-path=PATH   Start of the path of orders [default: /order].
+  --lookup-host=NAME  Host header of lookups [default: lookup.test].
+  --order-host=NAME   Host header of orders [default: order.test].
   --key-header=NAME   Header with the idempotency key [default: idempotency-key].
   --key-prefix=TEXT   Start of every key [default: k].
   --attempt-ms=N      Time-out of one sending [default: 2000].
@@ -77,8 +77,8 @@
     options.lookups_per_s = std::stod(text("--lookups"));
     options.orders_per_s = std::stod(text("--orders"));
     options.length = seconds(text("--seconds"));
-    options.lookup_path = text("--lookup-path");
-    options.order_path = text("--order-path");
+    options.lookup_host = text("--lookup-host");
+    options.order_host = text("--order-host");
     options.key_header = text("--key-header");
     options.key_prefix = text("--key-prefix");
     options.attempt_time = std::chrono::milliseconds(std::stoll(text("--attempt-ms")));
--- a/packages/stand_ins/src/load/load_driver.cpp
+++ b/packages/stand_ins/src/load/load_driver.cpp
@@ -74,7 +74,9 @@
         .address = options_.instances[sender.instance],
         .method = sender.order ? runtime::http_method::post : runtime::http_method::get,
         .target = (sender.order ? options_.order_path : options_.lookup_path) + '/' + sender.key,
-        .headers = {{"catkintally-deadline-ms", std::to_string(limit)}},
+        .headers =
+            {{"Host", sender.order ? options_.order_host : options_.lookup_host},
+             {"catkintally-deadline-ms", std::to_string(limit)}},
         .deadline = options_.attempt_time,
         .idempotent = !sender.order};
     if (sender.order)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -69,16 +69,13 @@
         print(f"other results: {others}; longest time without an answer: "
               f"{summary['longest_gap_ms']:.0f} ms; refused by collapsing cold targets: "
               f"{sum(t['refused_cold'] for t in log['targets'].values())}")
-<<<<<<< HEAD
         # A fleet that refuses everything loses nothing either, so most requests must be answered.
         if answered < 0.9 * totals["sent"]:
             problems.append(f"only {answered} of {totals['sent']} requests were answered")
-=======
         for kind in ("lookup", "order"):
             for phase, values in zip(phases, summary["classes"][kind]["phases"]):
                 if values["answered"] == 0:
                     problems.append(f"no {kind} was answered in phase '{phase}'")
->>>>>>> main
         if found["false_not_run"]:
             problems.append(f"refused as not run but run: {found['false_not_run'][:5]}")
         if totals["wrong_answers"]:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -130,8 +130,8 @@
         lines += [f"domain,{name},in" for name in DOMAINS]
         lines.append("kind,name,host,path_prefix,work_class,idempotency_key_header,deadline_ms,"
                      "not_run_statuses,retry_budget_percent")
-        lines.append("service,lookup,,/lookup,lookup,,2000,503,20")
-        lines.append("service,order,,/order,order,idempotency-key,2000,503,20")
+        lines.append("service,lookup,lookup.test,/,lookup,,2000,503,20")
+        lines.append("service,order,order.test,/,order,idempotency-key,2000,503,20")
         lines.append("kind,service,name,address,failure_domain,slots,state")
         for number in range(1, self.lookup_targets + self.order_targets + 1):
             service = "lookup" if number <= self.lookup_targets else "order"
