--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -57,8 +57,10 @@
 class Fleet:
     """Platform and target stand-ins and a number of instances. Use as a context manager."""
 
-    def __init__(self, instances=13, lookup_targets=8, order_targets=6, target_options=()):
+    def __init__(self, instances=13, lookup_targets=8, order_targets=6, target_options=(),
+                 mode="owner"):
         self.count = instances
+        self.mode = mode
         self.lookup_targets = lookup_targets
         self.order_targets = order_targets
         self.target_options = list(target_options)
@@ -117,7 +119,8 @@
             f"[peers]\naddress = 127.0.0.1:{self.peer_base + index}\nseeds = {seeds}\n"
             f"shared_key = demo\n"
             f"[admin]\naddress = 127.0.0.1:{self.admin_base + index}\n"
-            f"[platform]\naddresses = 127.0.0.1:{self.platform_port}\n")
+            f"[platform]\naddresses = 127.0.0.1:{self.platform_port}\n"
+            f"[admission]\nmode = {self.mode}\n")
         http("POST", self.platform_port, "/control", {"set_instance": {
             "id": f"i{index}", "address": f"127.0.0.1:{self.peer_base + index}",
             "admin": f"127.0.0.1:{self.admin_base + index}",
