--- a/packages/bench/programs/capacity_bench.cpp
+++ b/packages/bench/programs/capacity_bench.cpp
@@ -4,14 +4,13 @@
 #include <catkintally/bench/capacity/linear_fit.hpp>
 #include <catkintally/bench/capacity/resource_meter.hpp>
 #include <catkintally/core/admission/service_admission.hpp>
+#include <catkintally/core/table/table_codec.hpp>
 #include <catkintally/core/time/manual_timer_service.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
 
 #include <cstdio>
-#include <deque>
 #include <memory>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -224,11 +223,61 @@
         fit.offset, fit.slope, targets_a_service, fit.worst_residual * 100);
 }
 
+/// Prints the size of the stored table, and memory and processor time to read it.
+void measure_table()
+{
+    std::vector<bench::sample> stored;
+    std::vector<bench::sample> memory;
+    std::vector<bench::sample> time;
+    std::printf("\n%-10s %14s %14s %14s\n", "targets", "stored_bytes", "memory_bytes", "decode_us");
+    for (const std::size_t count : {std::size_t{100}, std::size_t{400}, std::size_t{1400}})
+    {
+        std::vector<core::store_object> objects;
+        std::size_t bytes = 0;
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            core::stored_service service;
+            service.config = service_with_targets(index);
+            service.change_id = key;
+            core::store_object object;
+            object.key = core::service_key(service.config.service.name);
+            object.version = index + 1;
+            object.value = core::encode(service);
+            bytes += object.value.size();
+            objects.push_back(std::move(object));
+        }
+
+        const std::size_t before = bench::allocated_bytes();
+        const double start = bench::processor_time_ns();
+        std::vector<core::stored_service> decoded;
+        decoded.reserve(count);
+        for (const core::store_object& object : objects)
+        {
+            decoded.push_back(core::decode_service(object).value());
+        }
+        const double used_us = (bench::processor_time_ns() - start) / 1000;
+        const std::size_t held = bench::allocated_bytes() - before;
+
+        const auto targets = static_cast<double>(count * targets_a_service);
+        stored.push_back({targets, static_cast<double>(bytes)});
+        memory.push_back({targets, static_cast<double>(held)});
+        time.push_back({targets, used_us});
+        std::printf("%-10.0f %14zu %14zu %14.0f\n", targets, bytes, held, used_us);
+    }
+    std::printf(
+        "table: %.0f stored bytes, %.0f bytes of memory and %.1f us to decode a target, worst "
+        "residuals %.1f %%, %.1f %%, %.1f %%\n",
+        bench::fit_line(stored).slope, bench::fit_line(memory).slope, bench::fit_line(time).slope,
+        bench::fit_line(stored).worst_residual * 100, bench::fit_line(memory).worst_residual * 100,
+        bench::fit_line(time).worst_residual * 100);
+}
+
 } // namespace
 
 int main()
 {
     measure_messages();
     measure_owner();
+    measure_table();
     return 0;
 }
