Let requests wait ahead only behind a queue

Cause: at load 0.7 the remaining tail is requests bound to a target behind long or slow work, while other targets become free first.

Change: places ahead are used only while at least half as many requests are queued as there are warm slots, or the queue is full. A target that takes no work no longer counts as free, which made every event compare the whole queue.

--- a/packages/core/include/catkintally/core/admission/service_admission.hpp
+++ b/packages/core/include/catkintally/core/admission/service_admission.hpp
@@ -63,6 +63,8 @@
 private:
     void grant_place(const admission_request& request, target_admission& target);
     void refuse(const admission_request& request, decision_code code, duration retry_after);
+    /// Requests that may wait ahead at a warm target now.
+    [[nodiscard]] std::uint32_t ahead() const;
     target_admission* choose(const admission_request& request);
     [[nodiscard]] choice_input input_for(const admission_request& request) const;
 
--- a/packages/core/include/catkintally/core/admission/target_set.hpp
+++ b/packages/core/include/catkintally/core/admission/target_set.hpp
@@ -29,6 +29,9 @@
     /// True if some target has a free place.
     [[nodiscard]] bool any_free(std::uint32_t ahead, time_point now) const;
 
+    /// Slots of all warm targets.
+    [[nodiscard]] std::uint32_t warm_slots() const;
+
     /// Earliest time at which a limit changes or a held place is returned by itself.
     [[nodiscard]] std::optional<time_point> next_change(time_point now) const;
 
--- a/packages/core/src/admission/service_admission.cpp
+++ b/packages/core/src/admission/service_admission.cpp
@@ -114,6 +114,7 @@
             {.request = request,
              .work = config_.service.work,
              .deadline = now + request.deadline_left});
+        place_queued();
     }
     arm();
 }
@@ -305,6 +306,14 @@
          .retry_after = retry_after});
 }
 
+std::uint32_t service_admission::ahead() const
+{
+    // A request that waits ahead is bound to one target; in the queue it gets the first free place
+    // of all. Only a longer queue makes up for the slots that idle while a completion travels.
+    const std::size_t pressed = std::min(targets_.warm_slots() / 2, config_.service.queue_limit);
+    return queue_.size() >= pressed ? config_.service.ahead : 0;
+}
+
 target_admission* service_admission::choose(const admission_request& request)
 {
     return choice_.choose(targets_.all(), input_for(request));
@@ -317,7 +326,7 @@
         .request = request,
         .times = times_,
         .suspect = crashes_.suspects(request.fingerprint, request.key, now),
-        .ahead = config_.service.ahead,
+        .ahead = ahead(),
         .now = now,
         .cold_blocked_until = cold_blocked_until_};
 }
@@ -386,7 +395,7 @@
 
 void service_admission::place_queued()
 {
-    while (queue_.size() > 0 && targets_.any_free(config_.service.ahead, options_.timers->now()))
+    while (queue_.size() > 0 && targets_.any_free(ahead(), options_.timers->now()))
     {
         target_admission* target = nullptr;
         auto entry = queue_.pop(
--- a/packages/core/src/admission/target_set.cpp
+++ b/packages/core/src/admission/target_set.cpp
@@ -59,7 +59,19 @@
 {
     return std::any_of(
         targets_.begin(), targets_.end(),
-        [&](const auto& target) { return target->occupied(now) < target->limit(ahead, now); });
+        [&](const auto& target)
+        { return target->accepts(now) && target->occupied(now) < target->limit(ahead, now); });
+}
+
+std::uint32_t target_set::warm_slots() const
+{
+    std::uint32_t slots = 0;
+    for (const auto& target : targets_)
+    {
+        const bool warm = target->available() && target->phase() == target_phase::warm;
+        slots += warm ? target->row().slots : 0;
+    }
+    return slots;
 }
 
 std::optional<time_point> target_set::next_change(time_point now) const
