Refuse a keyed request as attempt-not-run instead of not-run

Cause, found by the model: an owner that is paused after its lease check can miss a takeover in which the key runs, and then refuses another sending of the key. The refusal said not-run, which is false for the key. Ruled out: the lease, which may last 300 ms after members that count as silent were removed. Until the owner confirms its epoch with the witness, a refusal of a keyed request speaks for this sending only.

--- a/packages/core/src/fleet/admission_client.cpp
+++ b/packages/core/src/fleet/admission_client.cpp
@@ -624,8 +624,10 @@
     case decision_code::key_outcome_unknown:
         return run_claim::unknown;
     default:
-        // The owner has looked the key up, so its refusal speaks for all instances.
-        return request.retry ? run_claim::attempt_not_run : run_claim::not_run;
+        // An owner that was paused after its lease check may have missed a takeover in which the
+        // key ran, so its refusal of a keyed request speaks for this sending only.
+        return request.retry || !request.key.empty() ? run_claim::attempt_not_run
+                                                     : run_claim::not_run;
     }
 }
 
--- a/packages/entry/include/catkintally/entry/process/decision_journal.hpp
+++ b/packages/entry/include/catkintally/entry/process/decision_journal.hpp
@@ -20,7 +20,7 @@
     explicit decision_journal(core::timer_service& timers, std::size_t capacity = 20'000);
 
     /// Returns a gateway that records what passes through `inner`.
-    [[nodiscard]] core::admission_gateway record(core::admission_gateway inner);
+    [[nodiscard]] core::admission_gateway record(const core::admission_gateway& inner);
 
     /// All steps recorded for a request, oldest first, with their age in milliseconds. `id` has the
     /// form of the response header catkintally-request-id.
--- a/packages/entry/src/process/decision_journal.cpp
+++ b/packages/entry/src/process/decision_journal.cpp
@@ -12,7 +12,7 @@
 {
 }
 
-core::admission_gateway decision_journal::record(core::admission_gateway inner)
+core::admission_gateway decision_journal::record(const core::admission_gateway& inner)
 {
     core::admission_gateway recorded = inner;
     recorded.ask =
