Test that both sides of a partition do not use a cold target

The model asks that a new owner waits for half of each earlier view; the code instead stops cold grants at an owner that does not hear an active member. Without check_silent_members the new test fails (majority and minority use the targets at once), with it the majority's last request ends before the minority's first starts.

--- a/packages/core/tests/fleet/fleet_owner_loss_test.cpp
+++ b/packages/core/tests/fleet/fleet_owner_loss_test.cpp
@@ -219,3 +219,71 @@
     CHECK(fleet.stored_view().members.size() == 6);
     fleet.check_invariants();
 }
+
+// Guards against two owners that each give a cold target its one place: the instance that reaches
+// the store removes the majority, which hears itself but neither the store nor that instance.
+TEST_CASE("a cold target keeps its limit when a minority with the store removes the majority")
+{
+    fleet_harness fleet;
+    fleet.start({"a", "b", "a", "b", "a"});
+    const std::size_t owner = fleet.owner();
+    const std::size_t alone = fleet.other({owner, fleet.witness()});
+    for (std::size_t index = 0; index < fleet.nodes.size(); ++index)
+    {
+        fleet.nodes[index]->store->cut = index != alone;
+    }
+    fleet.isolate(alone);
+    fleet.work = 900ms;
+    // Targets of the harness run past a request's deadline, unlike real ones, so the sides are
+    // compared by time instead of by the number of requests that run.
+    std::optional<time_point> last_of_majority;
+    std::optional<time_point> first_of_minority;
+    fleet.before_send = [&](const caller_request& request) -> std::optional<duration>
+    {
+        if (request.node != alone)
+        {
+            last_of_majority = fleet.clock.now();
+        }
+        else if (!first_of_minority)
+        {
+            first_of_minority = fleet.clock.now();
+        }
+        return std::nullopt;
+    };
+    for (int round = 0; round < 60; ++round)
+    {
+        fleet.call(owner, {}, true);
+        fleet.call(alone, {}, true);
+        fleet.advance(200ms);
+    }
+    CHECK(fleet.stored_view().members.size() == 1);
+    REQUIRE(last_of_majority);
+    REQUIRE(first_of_minority);
+    CHECK(*last_of_majority + fleet.work < *first_of_minority);
+}
+
+// Guards against a refusal that calls a keyed request not run although an owner that missed a
+// takeover cannot know that.
+TEST_CASE("the refusal of a keyed request speaks for its sending only")
+{
+    const auto [key, claim] = GENERATE(table<std::string, run_claim>(
+        {{"order-1", run_claim::attempt_not_run}, {"", run_claim::not_run}}));
+    fleet_harness fleet;
+    fleet.start(three_domains);
+    fleet.warm_up();
+    table_snapshot all_out = fleet.table;
+    ++all_out.revision;
+    for (const char* domain : {"a", "b", "c"})
+    {
+        all_out.domains[domain] = {.name = domain, .state = domain_state::out};
+    }
+    for (const auto& node : fleet.nodes)
+    {
+        node->fleet->set_table(all_out);
+    }
+    const auto refused = fleet.call(fleet.other({fleet.owner(), fleet.witness()}), key);
+    fleet.advance(10s);
+    REQUIRE(refused->result);
+    CHECK_FALSE(refused->result->granted);
+    CHECK(refused->result->answer.claim == claim);
+}
