Split the fleet node, the admission client and the service owner by concern

Recovery, ownership, the exchange of stored answers and the path without an owner now have files of their own; the code is moved, not changed.

--- a/packages/core/src/fleet/admission_client.cpp
+++ b/packages/core/src/fleet/admission_client.cpp
@@ -1,7 +1,6 @@
 #include <catkintally/core/fleet/admission_client.hpp>
 
 #include <catkintally/core/fleet/fixed_share.hpp>
-#include <catkintally/core/fleet/lease.hpp>
 #include <catkintally/core/fleet/placement.hpp>
 #include <catkintally/core/fleet/service_owner.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
@@ -184,86 +183,6 @@
     }
 }
 
-duration admission_client::without_owner(const std::string& service) const
-{
-    const time_point now = options_.timers->now();
-    const member* owner = place_service(service, options_.current().members).owner;
-    duration missing{};
-    if (owner == nullptr)
-    {
-        missing = now - view_changed_at_;
-    }
-    else
-    {
-        const auto heard = options_.last_heard(owner->id);
-        missing = now - std::max(heard.value_or(view_changed_at_), view_changed_at_);
-        const auto known = services_.find(service);
-        // An owner that has its lease again may let a request wait without a reply.
-        if (known != services_.end() && known->second.no_lease_since &&
-            now - known->second.no_lease_last <= 2 * owner_reply_limit)
-        {
-            missing = std::max(missing, now - *known->second.no_lease_since);
-        }
-    }
-    return missing;
-}
-
-bool admission_client::try_fixed_share(entry& asking)
-{
-    const admission_request& request = asking.request;
-    const duration missing = without_owner(request.service);
-    if (!request.idempotent || !request.key.empty() || missing < owner_missing_limit)
-    {
-        return false;
-    }
-    const time_point now = options_.timers->now();
-    const service_config* config = find_service(request.service);
-    if (config == nullptr)
-    {
-        return false;
-    }
-    service_entry& service = services_[request.service];
-    // An owner that lost contact may have granted a cold target's only place shortly before; the
-    // freshness time keeps an isolated instance from ever reaching this case.
-    const duration longest_work =
-        milliseconds(config->service.deadline_ms) + silent_work_margin + freshness_time;
-    const target_row* chosen = choose_fixed_share(
-        {.current = &options_.current(),
-         .self = options_.self(),
-         .table = table_,
-         .service = config,
-         .believed_warm =
-             [&](const std::string& target)
-         {
-             const auto known = service.warm_until.find(target);
-             return known != service.warm_until.end() && now < known->second;
-         },
-         .in_use =
-             [&](const std::string& target)
-         {
-             return static_cast<std::uint32_t>(std::count_if(
-                 entries_.begin(), entries_.end(),
-                 [&](const auto& item)
-                 {
-                     const entry& used = item.second;
-                     return used.request.service == request.service && used.target == target &&
-                            used.at >= phase::granted;
-                 }));
-         },
-         .cold_allowed = missing >= longest_work,
-         .excluded = request.excluded_targets});
-    if (chosen == nullptr)
-    {
-        return false;
-    }
-    if (asking.asked)
-    {
-        send_cancel(*asking.asked, request.id, request.service);
-    }
-    grant(asking, chosen->name, now + grant_validity, true);
-    return true;
-}
-
 void admission_client::on_grant_reply(const member_id& from, const wire::grant_reply_data& reply)
 {
     const std::uint64_t epoch = options_.current().epoch;
@@ -516,79 +435,6 @@
     }
 }
 
-void admission_client::fetch_answer(entry& asking, const std::string& holder)
-{
-    const request_id id = asking.request.id;
-    const member* listed = options_.current().find_instance(instance_of(holder));
-    const bool own = instance_of(holder) == options_.self().instance;
-    if (own || listed == nullptr)
-    {
-        admission_answer answer;
-        answer.code = decision_code::key_already_run;
-        answer.claim = run_claim::already_run;
-        if (own)
-        {
-            answer.replay =
-                answers_.find(asking.request.service, asking.request.key, options_.timers->now());
-        }
-        give(id, std::move(answer));
-        return;
-    }
-    asking.at = phase::fetching;
-    asking.asked = listed->id;
-    schedule(asking, owner_reply_limit);
-    wire::answer_fetch_data fetch;
-    fetch.request_id = id;
-    fetch.service = asking.request.service;
-    fetch.key = asking.request.key;
-    options_.send(listed->id, wire::make_message(std::move(fetch)));
-}
-
-void admission_client::on_answer_fetch(const member_id& from, const wire::answer_fetch_data& fetch)
-{
-    wire::answer_reply_data reply;
-    reply.request_id = fetch.request_id;
-    if (const auto kept = answers_.find(fetch.service, fetch.key, options_.timers->now()))
-    {
-        reply.found = true;
-        reply.status = kept->status;
-        for (const auto& [name, value] : kept->headers)
-        {
-            auto field = std::make_unique<wire::header_field_data>();
-            field->name = name;
-            field->value = value;
-            reply.headers.push_back(std::move(field));
-        }
-        reply.body.assign(kept->body.begin(), kept->body.end());
-    }
-    options_.send(from, wire::make_message(std::move(reply)));
-}
-
-void admission_client::on_answer_reply(const member_id& from, const wire::answer_reply_data& reply)
-{
-    const auto found = entries_.find(reply.request_id);
-    if (found == entries_.end() || found->second.at != phase::fetching ||
-        found->second.asked != from)
-    {
-        return;
-    }
-    admission_answer answer;
-    answer.code = decision_code::key_already_run;
-    answer.claim = run_claim::already_run;
-    if (reply.found)
-    {
-        auto kept = std::make_shared<stored_answer>();
-        kept->status = reply.status;
-        for (const auto& field : reply.headers)
-        {
-            kept->headers.emplace_back(field->name, field->value);
-        }
-        kept->body.assign(reply.body.begin(), reply.body.end());
-        answer.replay = std::move(kept);
-    }
-    give(reply.request_id, std::move(answer));
-}
-
 void admission_client::refuse(
     request_id id, decision_code code, run_claim claim, duration retry_after)
 {
@@ -608,11 +454,6 @@
     done(std::move(answer));
 }
 
-run_claim admission_client::claim_without_owner(const admission_request& request) const
-{
-    return request.key.empty() && !request.retry ? run_claim::not_run : run_claim::attempt_not_run;
-}
-
 run_claim admission_client::claim_of(decision_code code, const admission_request& request)
 {
     switch (code)
