Do not dispatch queued orders that are about to pass their deadline

Cause: a new owner has no model of service times, so it granted queued requests with almost no time left; they passed their deadline while they ran, and three such time-outs ejected healthy targets. Now orders keep a reserve of 7 typical times, or 100 ms without a model, and a time-out after less than 100 ms without a model ejects nothing; a cold target still falls back to one request.

--- a/packages/core/include/catkintally/core/admission/admission_queue.hpp
+++ b/packages/core/include/catkintally/core/admission/admission_queue.hpp
@@ -18,6 +18,8 @@
     work_class work = work_class::lookup;
     /// The caller's deadline.
     time_point deadline{};
+    /// Time before the deadline at which the request is given up.
+    duration reserve{};
 };
 
 /// Requests of one service that wait for a place, in two classes. Orders and lookups come first;
@@ -34,10 +36,10 @@
     /// Removes the request; empty if it does not wait.
     std::optional<queued_request> remove(request_id id);
 
-    /// Removes and returns one request whose deadline is at or before `limit`.
+    /// Removes and returns one request whose deadline, less its reserve, is at or before `limit`.
     std::optional<queued_request> pop_due(time_point limit);
 
-    /// Earliest deadline of all waiting requests.
+    /// Earliest deadline, less the reserve, of all waiting requests.
     [[nodiscard]] std::optional<time_point> earliest_deadline() const;
 
     /// True if the request waits.
--- a/packages/core/include/catkintally/core/admission/service_admission.hpp
+++ b/packages/core/include/catkintally/core/admission/service_admission.hpp
@@ -73,6 +73,8 @@
     void expire_places();
     std::optional<target_admission::place> return_place(request_id id);
     void refuse_late();
+    /// Time that a queued request must have left if its outcome may not stay unknown.
+    [[nodiscard]] duration reserve_before_deadline() const;
     void refuse_unplaceable();
     void place_queued();
     void send_probes();
--- a/packages/core/include/catkintally/core/admission/service_time_model.hpp
+++ b/packages/core/include/catkintally/core/admission/service_time_model.hpp
@@ -5,6 +5,10 @@
 namespace catkintally::core
 {
 
+/// Service time that is assumed to be enough while a model has too few completions. A new owner
+/// starts without a model; most work is around 10 ms, so ten times that covers its tail.
+inline constexpr duration assumed_late_bound = std::chrono::milliseconds(100);
+
 /// Moving estimate of how long requests of one service take from grant to completion. The times are
 /// taken as log-normal, because the work of a service has a heavy tail: a fixed multiple of the
 /// mean would either miss slow targets or suspect every long request.
--- a/packages/core/src/admission/admission_queue.cpp
+++ b/packages/core/src/admission/admission_queue.cpp
@@ -59,7 +59,8 @@
 
 std::optional<queued_request> admission_queue::pop_due(time_point limit)
 {
-    const auto due = [limit](const queued_request& entry) { return entry.deadline <= limit; };
+    const auto due = [limit](const queued_request& entry)
+    { return entry.deadline - entry.reserve <= limit; };
     for (entries* from : {&front_, &archive_})
     {
         if (auto entry = take(*from, std::find_if(from->begin(), from->end(), due)))
@@ -77,7 +78,8 @@
     {
         for (const queued_request& entry : *from)
         {
-            earliest = std::min(earliest.value_or(entry.deadline), entry.deadline);
+            const time_point due = entry.deadline - entry.reserve;
+            earliest = std::min(earliest.value_or(due), due);
         }
     }
     return earliest;
--- a/packages/core/src/admission/service_admission.cpp
+++ b/packages/core/src/admission/service_admission.cpp
@@ -12,6 +12,11 @@
 
 using namespace std::chrono_literals;
 
+/// A queued request that must not run twice is refused, not run, when less than this many further
+/// typical times are left. Work has a heavy tail: granted later, it often passes its deadline while
+/// it runs, and its outcome is unknown.
+constexpr int unknown_outcome_reserve = 7;
+
 /// How long after its deadline a place without a completion is still counted. Covers the way of the
 /// completion and the validity of the grant; a place is never returned while the request may run.
 constexpr duration expiry_grace = 500ms;
@@ -113,7 +118,8 @@
         queue_.push(
             {.request = request,
              .work = config_.service.work,
-             .deadline = now + request.deadline_left});
+             .deadline = now + request.deadline_left,
+             .reserve = request.idempotent ? duration::zero() : reserve_before_deadline()});
         place_queued();
     }
     arm();
@@ -364,6 +370,11 @@
     return target ? target->remove(id, options_.timers->now()) : std::nullopt;
 }
 
+duration service_admission::reserve_before_deadline() const
+{
+    return times_.ready() ? unknown_outcome_reserve * times_.typical() : assumed_late_bound;
+}
+
 void service_admission::refuse_late()
 {
     while (const auto entry = queue_.pop_due(options_.timers->now() + times_.typical()))
--- a/packages/core/src/admission/target_admission.cpp
+++ b/packages/core/src/admission/target_admission.cpp
@@ -187,10 +187,15 @@
         break;
     case completion_outcome::timed_out:
         // A caller's own short deadline says nothing about the target.
-        if (late || !model.ready())
+        if (late || (!model.ready() && now - ended.started >= assumed_late_bound))
         {
             prevented = failed(ended, true, model, now, may_eject);
         }
+        else if (!model.ready() && phase_ == target_phase::cold)
+        {
+            // Without a model the deadline may have been too short or the target too slow.
+            become_cold();
+        }
         break;
     case completion_outcome::cancelled:
         break;
--- a/packages/core/tests/admission/target_phase_test.cpp
+++ b/packages/core/tests/admission/target_phase_test.cpp
@@ -41,6 +41,24 @@
     CHECK(fixture.target("t0").limit == 1);
 }
 
+// Guards against a new owner, which has no model of service times, that ejects healthy targets
+// because requests reached them with almost no time left.
+TEST_CASE("requests whose deadline passes at once do not eject a target of a new owner")
+{
+    const auto [elapsed, expected] = GENERATE(table<duration, target_phase>(
+        {{5ms, target_phase::cold}, {assumed_late_bound, target_phase::ejected}}));
+    admission_fixture fixture(2, 3);
+    for (request_id id = 1; id <= 8; ++id)
+    {
+        REQUIRE(fixture.submit(id));
+        fixture.timers.advance(elapsed);
+        fixture.complete(id, completion_outcome::timed_out);
+    }
+    const bool ejected = fixture.target("t0").phase == target_phase::ejected ||
+                         fixture.target("t1").phase == target_phase::ejected;
+    CHECK(ejected == (expected == target_phase::ejected));
+}
+
 // Guards against a warm target that restarts without a word and keeps its full limit.
 TEST_CASE("a warm target becomes cold again by errors, lost connections or its own report")
 {
