--- a/packages/core/include/catkintally/core/admission/crash_guard.hpp
+++ b/packages/core/include/catkintally/core/admission/crash_guard.hpp
@@ -2,6 +2,7 @@
 
 #include <catkintally/core/admission/admission_request.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -57,6 +58,12 @@
 
     void make_room(time_point now);
 
+    /// True if a record of the request matches.
+    [[nodiscard]] bool any_record(
+        std::uint64_t fingerprint,
+        const std::string& key,
+        const std::function<bool(const record&)>& matches) const;
+
     /// By "f" + fingerprint and by "k" + key.
     std::map<std::string, record> records_;
 };
--- a/packages/core/src/admission/crash_guard.cpp
+++ b/packages/core/src/admission/crash_guard.cpp
@@ -69,21 +69,20 @@
 
 bool crash_guard::refuses(std::uint64_t fingerprint, const std::string& key, time_point now) const
 {
-    if (records_.empty())
-    {
-        return false;
-    }
-    const auto names = identities(fingerprint, key);
-    return std::any_of(
-        names.begin(), names.end(),
-        [&](const std::string& name)
-        {
-            const auto known = records_.find(name);
-            return known != records_.end() && known->second.refused_until > now;
-        });
+    return any_record(
+        fingerprint, key, [now](const record& known) { return known.refused_until > now; });
 }
 
 bool crash_guard::suspects(std::uint64_t fingerprint, const std::string& key, time_point now) const
+{
+    return any_record(
+        fingerprint, key, [now](const record& known) { return known.crashed_at + memory > now; });
+}
+
+bool crash_guard::any_record(
+    std::uint64_t fingerprint,
+    const std::string& key,
+    const std::function<bool(const record&)>& matches) const
 {
     if (records_.empty())
     {
@@ -95,7 +94,7 @@
         [&](const std::string& name)
         {
             const auto known = records_.find(name);
-            return known != records_.end() && known->second.crashed_at + memory > now;
+            return known != records_.end() && matches(known->second);
         });
 }
 
--- a/packages/core/tests/admission/service_admission_test.cpp
+++ b/packages/core/tests/admission/service_admission_test.cpp
@@ -205,41 +205,32 @@
     CHECK((fixture.decisions.back().retry_after > 0ms) == retry_after);
 }
 
-// Guards against a queued request that nobody answers because no event touches the queue.
+// Guards against a queued request that nobody answers because no event touches the queue, and
+// against orders that are granted so late that they pass their deadline while they run, so that
+// their outcome is unknown instead of not run.
 TEST_CASE("a queued request is refused as soon as its deadline cannot be met")
 {
-    admission_fixture fixture(1);
-    fixture.warm_up();
-    for (request_id id = 1; id <= 3; ++id)
+    struct row
     {
-        REQUIRE(fixture.submit(id));
-    }
-    auto lookup = admission_fixture::request(9, 60ms);
-    lookup.idempotent = true;
-    fixture.submit(lookup);
-    fixture.timers.advance(45ms);
-    CHECK(fixture.decisions.size() == 3);
-    fixture.timers.advance(10ms);
-    REQUIRE(fixture.decisions.size() == 4);
-    CHECK(fixture.last_code() == decision_code::refused_deadline);
-}
-
-// Guards against orders that are granted so late that they pass their deadline while they run, so
-// that their outcome is unknown instead of not run.
-TEST_CASE("a queued order is refused while there is still time for the tail of the work")
-{
+        bool idempotent;
+        duration deadline;
+        duration waits;
+        duration refused_after;
+    };
+    const auto [idempotent, deadline, waits, refused_after] =
+        GENERATE(row{true, 60ms, 45ms, 55ms}, row{false, 200ms, 100ms, 130ms});
     admission_fixture fixture(1);
     fixture.warm_up();
     for (request_id id = 1; id <= 3; ++id)
     {
         REQUIRE(fixture.submit(id));
     }
-    auto order = admission_fixture::request(9, 200ms);
-    order.idempotent = false;
-    fixture.submit(order);
-    fixture.timers.advance(100ms);
+    auto request = admission_fixture::request(9, deadline);
+    request.idempotent = idempotent;
+    fixture.submit(request);
+    fixture.timers.advance(waits);
     CHECK(fixture.decisions.size() == 3);
-    fixture.timers.advance(30ms);
+    fixture.timers.advance(refused_after - waits);
     REQUIRE(fixture.decisions.size() == 4);
     CHECK(fixture.last_code() == decision_code::refused_deadline);
 }
