Use one predicate for targets that may take new work

takes_work in the fleet repeated takes_new_work of the admission module. The latter also asks for at least one slot, which the table's check guarantees, so nothing changes.

--- a/packages/core/include/catkintally/core/fleet/fixed_share.hpp
+++ b/packages/core/include/catkintally/core/fleet/fixed_share.hpp
@@ -30,7 +30,4 @@
 /// slot p belongs to active member p mod n.
 [[nodiscard]] const target_row* choose_fixed_share(const fixed_share_input& input);
 
-/// True if operators let the target take new work.
-[[nodiscard]] bool takes_work(const table_snapshot& table, const target_row& target);
-
 } // namespace catkintally::core
--- a/packages/core/src/fleet/admission_client.cpp
+++ b/packages/core/src/fleet/admission_client.cpp
@@ -1,6 +1,6 @@
 #include <catkintally/core/fleet/admission_client.hpp>
 
-#include <catkintally/core/fleet/fixed_share.hpp>
+#include <catkintally/core/admission/target_set.hpp>
 #include <catkintally/core/fleet/placement.hpp>
 #include <catkintally/core/fleet/service_owner.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
@@ -290,7 +290,7 @@
     const target_row* row = find_target(granted.request.service, granted.target);
     if (granted.epoch != options_.current().epoch ||
         options_.timers->now() >= granted.send_before || row == nullptr ||
-        !takes_work(*table_, *row) || !options_.fresh())
+        !takes_new_work(*row, *table_) || !options_.fresh())
     {
         return false;
     }
--- a/packages/core/src/fleet/fixed_share.cpp
+++ b/packages/core/src/fleet/fixed_share.cpp
@@ -1,16 +1,12 @@
 #include <catkintally/core/fleet/fixed_share.hpp>
 
+#include <catkintally/core/admission/target_set.hpp>
+
 #include <algorithm>
 
 namespace catkintally::core
 {
 
-bool takes_work(const table_snapshot& table, const target_row& target)
-{
-    return target.state == target_admin_state::in && target.weight > 0 &&
-           !table.is_out(target.failure_domain);
-}
-
 const target_row* choose_fixed_share(const fixed_share_input& input)
 {
     // Position of this instance among the active members.
@@ -40,7 +36,7 @@
     std::size_t slot_number = 0;
     for (const target_row& target : input.service->targets)
     {
-        if (!takes_work(*input.table, target))
+        if (!takes_new_work(target, *input.table))
         {
             continue;
         }
