--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -23,6 +23,8 @@
 struct probed_target
 {
     std::string name;
+    /// The decision was made before the answer came.
+    bool pending = true;
     probe_report report;
     target_estimate estimate;
     /// Between question and answer; the age of the answer at the decision is at most this plus the
@@ -51,7 +53,7 @@
     timer_service* timers = nullptr;
     std::uint64_t seed = 0;
     /// Failure domain of this instance.
-    std::string failure_domain;
+    std::string failure_domain{};
     /// Targets asked at once.
     std::size_t targets_asked = 3;
     /// How long answers are awaited.
@@ -61,14 +63,13 @@
     /// Pause between two requests to the same cold target.
     duration cold_interval = std::chrono::milliseconds(700);
     /// Sends one health check; answers exactly once, never inline.
-    std::function<void(
-        const service_config&, const target_row&, std::function<void(probe_report)>)>
-        probe;
+    std::function<void(const service_config&, const target_row&, std::function<void(probe_report)>)>
+        probe{};
     /// Told of each decision; may be empty.
-    std::function<void(const probing_decision&)> decided;
+    std::function<void(const probing_decision&)> decided{};
     /// Told when a target gets no work for a while because it failed; may be empty.
     std::function<void(const std::string& service, const std::string& target, std::uint32_t)>
-        ejected;
+        ejected{};
 };
 
 /// Admission by one instance alone: before each request it asks a few targets of the service for
@@ -109,7 +110,6 @@
     {
         std::string name;
         time_point asked_at{};
-        bool open = true;
         probed_target result;
     };
     struct application
@@ -132,7 +132,8 @@
     [[nodiscard]] std::vector<const target_row*> candidates(const application& asking) const;
     [[nodiscard]] std::vector<const target_row*>
     choose_to_ask(std::vector<const target_row*> usable);
-    void take_report(request_id id, std::uint32_t round, const target_key& key, probe_report report);
+    void
+    take_report(request_id id, std::uint32_t round, const target_key& key, probe_report report);
     void learn(const target_key& key, const probe_report& report);
     void weigh(const application& asking, asked_target& asked) const;
     void decide(request_id id);
--- a/packages/core/include/catkintally/core/admission/target_health.hpp
+++ b/packages/core/include/catkintally/core/admission/target_health.hpp
@@ -28,7 +28,8 @@
 
     [[nodiscard]] bool is_cold(time_point now) const { return now < cold_until_; }
 
-    /// Whether a request may go to the target now. A cold one takes a request only every `interval`.
+    /// Whether a request may go to the target now. A cold one takes a request only every
+    /// `interval`.
     [[nodiscard]] bool may_take(time_point now, duration interval) const
     {
         return !is_cold(now) || now >= last_sent_ + interval;
--- a/packages/core/include/catkintally/core/store/object_store.hpp
+++ b/packages/core/include/catkintally/core/store/object_store.hpp
@@ -21,8 +21,8 @@
     unknown
 };
 
-/// One object. `value` is JSON text; a deleted object in a watch has `deleted` set. `status` is what
-/// the store keeps beside the value, as JSON text; empty if there is nothing.
+/// One object. `value` is JSON text; a deleted object in a watch has `deleted` set. `status` is
+/// what the store keeps beside the value, as JSON text; empty if there is nothing.
 struct store_object
 {
     std::string key;
--- a/packages/core/include/catkintally/core/table/table_snapshot.hpp
+++ b/packages/core/include/catkintally/core/table/table_snapshot.hpp
@@ -52,8 +52,8 @@
 };
 
 /// The target with this name, or nullptr. Valid as long as the table.
-[[nodiscard]] inline const target_row* find_target(
-    const table_snapshot& table, const std::string& service, const std::string& target)
+[[nodiscard]] inline const target_row*
+find_target(const table_snapshot& table, const std::string& service, const std::string& target)
 {
     const auto config = table.services.find(service);
     if (config == table.services.end())
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -174,8 +174,7 @@
     return healthy.size() * 2 >= all.size() ? healthy : all;
 }
 
-std::vector<const target_row*>
-probing_gateway::choose_to_ask(std::vector<const target_row*> usable)
+std::vector<const target_row*> probing_gateway::choose_to_ask(std::vector<const target_row*> usable)
 {
     // A random order, with the targets of the own failure domain first.
     for (std::size_t i = usable.size(); i > 1; --i)
@@ -183,8 +182,8 @@
         std::swap(usable[i - 1], usable[random_.next() % i]);
     }
     std::stable_partition(
-        usable.begin(), usable.end(), [this](const target_row* each)
-        { return each->failure_domain == options_.failure_domain; });
+        usable.begin(), usable.end(),
+        [this](const target_row* each) { return each->failure_domain == options_.failure_domain; });
     usable.resize(std::min(usable.size(), options_.targets_asked));
     return usable;
 }
@@ -207,7 +206,8 @@
         return;
     }
     ++asking.round;
-    asking.timer = options_.timers->schedule_after(options_.answer_time, [this, id] { decide(id); });
+    asking.timer =
+        options_.timers->schedule_after(options_.answer_time, [this, id] { decide(id); });
     const service_config& config = *service(asking.request.service);
     const auto now = options_.timers->now();
     const std::uint32_t round = asking.round;
@@ -263,20 +263,19 @@
     const auto asked = std::find_if(
         asking.asked.begin(), asking.asked.end(),
         [&](const asked_target& each) { return each.name == key.second; });
-    if (asked == asking.asked.end() || !asked->open)
+    if (asked == asking.asked.end() || !asked->result.pending)
     {
         return;
     }
-    asked->open = false;
+    asked->result.pending = false;
     asked->result.report = std::move(report);
     asked->result.round_trip = options_.timers->now() - asked->asked_at;
     const asked_target* best = best_of(asking);
-    const bool take =
-        best != nullptr && best->result.estimate.free &&
-        best->result.estimate.relative_time <= take_at_once;
+    const bool take = best != nullptr && best->result.estimate.free &&
+                      best->result.estimate.relative_time <= take_at_once;
     const bool complete = std::none_of(
         asking.asked.begin(), asking.asked.end(),
-        [](const asked_target& each) { return each.open; });
+        [](const asked_target& each) { return each.result.pending; });
     if (take || complete)
     {
         decide(id);
@@ -312,7 +311,7 @@
         const target_key key(asking.request.service, each.name);
         const target_row* target = row(key);
         const probe_report& report = each.result.report;
-        if (each.open || target == nullptr || !takes_new_work(*target, *table_) ||
+        if (each.result.pending || target == nullptr || !takes_new_work(*target, *table_) ||
             !report.answered || !report.healthy ||
             (!report.name.empty() && report.name != each.name))
         {
@@ -354,7 +353,7 @@
     }
     const bool silent = std::all_of(
         asking.asked.begin(), asking.asked.end(),
-        [](const asked_target& each) { return each.open; });
+        [](const asked_target& each) { return each.result.pending; });
     if (silent && asking.round == max_rounds)
     {
         ++asking.round;
@@ -363,8 +362,7 @@
         return;
     }
     finish(
-        id,
-        best == nullptr ? decision_code::refused_no_target : decision_code::refused_queue_full,
+        id, best == nullptr ? decision_code::refused_no_target : decision_code::refused_queue_full,
         nullptr, refusal_wait());
 }
 
--- /dev/null
+++ b/packages/core/tests/admission/probing_gateway_test.cpp
@@ -0,0 +1,399 @@
+#include <catkintally/core/admission/probing_gateway.hpp>
+#include <catkintally/core/time/manual_timer_service.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+using namespace catkintally::core;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A gateway over targets whose answers to probes are set by the test. Targets t0, t1, ... stand in
+/// the domains "here" and "there" in turn.
+struct probing_fixture
+{
+    explicit probing_fixture(std::size_t count = 4, probing_gateway_options options = {})
+    {
+        options.timers = &timers;
+        options.seed = 7;
+        options.failure_domain = "here";
+        options.probe = [this](
+                            const service_config&, const target_row& target,
+                            std::function<void(probe_report)> done)
+        {
+            asked.push_back(target.name);
+            const auto found = reports.find(target.name);
+            if (found == reports.end())
+            {
+                return;
+            }
+            timers.schedule_after(1ms, [done, report = found->second] { done(report); });
+        };
+        options.decided = [this](const probing_decision& decision)
+        { decisions.push_back(decision); };
+        gateway_object.emplace(options);
+        gateway = gateway_object->gateway();
+        table.revision = 1;
+        service_config& config = table.services["desk"];
+        config.service.name = "desk";
+        config.service.retry_budget_percent = 20;
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            target_row row;
+            row.name = "t" + std::to_string(number);
+            row.address = "10.0.0.1:" + std::to_string(number + 1);
+            row.failure_domain = number % 2 == 0 ? "here" : "there";
+            config.targets.push_back(row);
+            report(row.name);
+        }
+        apply();
+    }
+
+    void apply() { gateway_object->apply(std::make_shared<const table_snapshot>(table)); }
+
+    /// Sets what a target answers from now on.
+    probe_report& report(const std::string& name)
+    {
+        probe_report& out = reports[name];
+        out.answered = true;
+        out.healthy = true;
+        out.name = name;
+        out.load = load_report{.slots = 2};
+        return out;
+    }
+
+    void submit(request_id id, bool retry = false, std::vector<std::string> excluded = {})
+    {
+        admission_request request;
+        request.id = id;
+        request.service = "desk";
+        request.idempotent = true;
+        request.retry = retry;
+        request.excluded_targets = std::move(excluded);
+        gateway.ask(request, [this, id](admission_answer answer) { answers[id] = answer; });
+    }
+
+    /// Submits a request and runs the time until it is decided.
+    admission_answer decide(request_id id, bool retry = false)
+    {
+        submit(id, retry);
+        for (int step = 0; step < 1000 && !answers.contains(id); ++step)
+        {
+            timers.advance(1ms);
+        }
+        REQUIRE(answers.contains(id));
+        return answers.at(id);
+    }
+
+    void complete(request_id id, completion_outcome outcome, std::uint16_t status = 200)
+    {
+        completion_report ended;
+        ended.id = id;
+        ended.service = "desk";
+        ended.target = answers.at(id).target;
+        ended.outcome = outcome;
+        ended.status = status;
+        gateway.complete(ended, nullptr);
+    }
+
+    manual_timer_service timers;
+    table_snapshot table;
+    std::map<std::string, probe_report> reports;
+    std::vector<std::string> asked;
+    std::vector<probing_decision> decisions;
+    std::map<request_id, admission_answer> answers;
+    std::optional<probing_gateway> gateway_object;
+    admission_gateway gateway;
+};
+
+} // namespace
+
+// Guards against requests that go to a target which is full, slow or failing although a free and
+// fast one answers.
+TEST_CASE("a request goes to the target at which it ends first")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(probing_fixture&)> arrange;
+        std::vector<std::string> possible;
+    };
+    const std::vector<row> rows = {
+        {"own domain first", [](auto&) {}, {"t0", "t2"}},
+        {"slow ones are left out",
+         [](auto& all)
+         {
+             all.report("t0").load->slowdown = 5;
+             all.report("t2").load->slowdown = 5;
+             all.report("t1").load->slowdown = 5;
+         },
+         {"t3"}},
+        {"full ones are left out",
+         [](auto& all)
+         {
+             for (const char* name : {"t0", "t1", "t2"})
+             {
+                 all.report(name).load->running = 2;
+                 all.reports[name].load->queued = 1;
+             }
+         },
+         {"t3"}},
+        {"unhealthy ones are left out",
+         [](auto& all)
+         {
+             all.report("t0").healthy = false;
+             all.report("t1").healthy = false;
+             all.report("t2").healthy = false;
+         },
+         {"t3"}},
+        {"silent ones are left out",
+         [](auto& all)
+         {
+             all.reports.erase("t0");
+             all.reports.erase("t2");
+         },
+         {"t1", "t3"}},
+        {"a stranger at the address is left out",
+         [](auto& all)
+         {
+             all.report("t0").name = "other";
+             all.report("t2").name = "other";
+         },
+         {"t1", "t3"}},
+        {"evacuated domains are left out",
+         [](auto& all)
+         {
+             all.table.domains["here"] = {.name = "here", .state = domain_state::out};
+             all.apply();
+         },
+         {"t1", "t3"}},
+        {"leaving targets are left out",
+         [](auto& all)
+         {
+             all.table.services["desk"].targets[0].state = target_admin_state::draining;
+             all.table.services["desk"].targets.erase(
+                 all.table.services["desk"].targets.begin() + 2);
+             all.apply();
+         },
+         {"t1", "t3"}}};
+    for (const row& each : rows)
+    {
+        INFO(each.name);
+        probing_fixture fixture;
+        each.arrange(fixture);
+        const admission_answer answer = fixture.decide(1);
+        CHECK(answer.code == decision_code::granted);
+        INFO(answer.target);
+        CHECK(std::count(each.possible.begin(), each.possible.end(), answer.target) == 1);
+        CHECK(fixture.gateway.may_send(1));
+    }
+}
+
+// Guards against a request that is held although no target can take it, and against a refusal
+// without advice.
+TEST_CASE("a request that no target can take is refused soon, with a time to return")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(probing_fixture&)> arrange;
+        decision_code code;
+        duration longest;
+    };
+    const std::vector<row> rows = {
+        {"no target",
+         [](auto& all)
+         {
+             all.table.services["desk"].targets.clear();
+             all.apply();
+         },
+         decision_code::refused_no_target, 1ms},
+        {"no service",
+         [](auto& all)
+         {
+             all.table.services.clear();
+             all.apply();
+         },
+         decision_code::refused_no_target, 1ms},
+        {"long queues everywhere",
+         [](auto& all)
+         {
+             for (auto& [name, report] : all.reports)
+             {
+                 report.load->running = 2;
+                 report.load->queued = 4;
+             }
+         },
+         decision_code::refused_queue_full, 10ms},
+        {"nobody answers", [](auto& all) { all.reports.clear(); }, decision_code::refused_no_target,
+         300ms}};
+    for (const row& each : rows)
+    {
+        INFO(each.name);
+        probing_fixture fixture;
+        each.arrange(fixture);
+        const time_point begin = fixture.timers.now();
+        const admission_answer answer = fixture.decide(1);
+        CHECK(answer.code == each.code);
+        CHECK(answer.claim == run_claim::not_run);
+        CHECK(answer.retry_after > duration::zero());
+        CHECK(fixture.timers.now() - begin <= each.longest);
+        CHECK_FALSE(fixture.gateway.may_send(1));
+    }
+}
+
+// Guards against requests of one moment that all go to the same target because none of them shows
+// in its report yet.
+TEST_CASE("requests that were sent since the report count as load")
+{
+    probing_fixture fixture(2);
+    std::map<std::string, int> counts;
+    for (request_id id = 1; id <= 4; ++id)
+    {
+        fixture.submit(id);
+    }
+    fixture.timers.advance(50ms);
+    for (const auto& [id, answer] : fixture.answers)
+    {
+        CHECK(answer.code == decision_code::granted);
+        ++counts[answer.target];
+    }
+    CHECK(counts["t0"] == 2);
+    CHECK(counts["t1"] == 2);
+}
+
+// Guards against a grant that outlives the news that its target leaves.
+TEST_CASE("a grant is not used once its target leaves or too much time has passed")
+{
+    const bool leaves = GENERATE(true, false);
+    probing_fixture fixture(1);
+    CHECK(fixture.decide(1).code == decision_code::granted);
+    CHECK(fixture.gateway.may_send(1));
+    if (leaves)
+    {
+        fixture.table.services["desk"].targets[0].state = target_admin_state::draining;
+        fixture.apply();
+    }
+    else
+    {
+        fixture.timers.advance(2s);
+    }
+    CHECK_FALSE(fixture.gateway.may_send(1));
+}
+
+// Guards against retries that multiply an overload: in any span, all retries together stay below
+// the percentage of first sendings plus what may be saved up.
+TEST_CASE("retries are bounded by the requests that were sent")
+{
+    probing_fixture fixture(4, {.retry_burst = 3});
+    request_id id = 0;
+    int retries = 0;
+    for (int request = 0; request < 100; ++request)
+    {
+        fixture.decide(++id);
+        fixture.complete(id, completion_outcome::answered);
+        const auto code = fixture.decide(++id, true).code;
+        retries += code == decision_code::granted ? 1 : 0;
+        CHECK((code == decision_code::granted || code == decision_code::refused_retry_budget));
+        if (code == decision_code::granted)
+        {
+            fixture.complete(id, completion_outcome::answered);
+        }
+    }
+    CHECK(retries >= 20);
+    CHECK(retries <= 23);
+}
+
+// Guards against a failing target that keeps getting work, and against a service that loses all its
+// targets because each has failed once.
+TEST_CASE("failed targets are left out while enough others are there")
+{
+    probing_fixture fixture(4);
+    request_id id = 0;
+    const auto fail_next = [&]
+    {
+        const std::string target = fixture.decide(++id).target;
+        fixture.complete(id, completion_outcome::connection_lost, 0);
+        return target;
+    };
+    const std::string first = fail_next();
+    for (int request = 0; request < 20; ++request)
+    {
+        CHECK(fixture.decide(++id).target != first);
+        fixture.complete(id, completion_outcome::answered);
+    }
+    fail_next();
+    fail_next();
+    // Three of four have failed: the last one could not carry the work alone.
+    CHECK(fixture.gateway_object->ejected_count() == 3);
+    std::set<std::string> used;
+    for (int request = 0; request < 30; ++request)
+    {
+        used.insert(fixture.decide(++id).target);
+        fixture.complete(id, completion_outcome::answered);
+    }
+    CHECK(used.size() > 1);
+}
+
+// Guards against a cold target that gets more than it can carry, whether its coldness was
+// registered or only shows in its health check.
+TEST_CASE("a cold target of the own domain gets few requests, one elsewhere fewer")
+{
+    const bool registered = GENERATE(true, false);
+    const bool here = GENERATE(true, false);
+    probing_fixture fixture(0, {.cold_interval = 1s});
+    target_row row;
+    row.name = "t0";
+    row.address = "10.0.0.1:1";
+    row.failure_domain = here ? "here" : "there";
+    row.warmup_left = registered ? duration(60s) : duration::zero();
+    fixture.table.services["desk"].targets = {row};
+    fixture.report("t0").warmup_left = 60s;
+    fixture.apply();
+    int granted = 0;
+    for (request_id id = 1; fixture.timers.now() < time_point() + 20s; ++id)
+    {
+        if (fixture.decide(id).code == decision_code::granted)
+        {
+            ++granted;
+            fixture.complete(id, completion_outcome::answered);
+        }
+        fixture.timers.advance(20ms);
+    }
+    CHECK(granted >= (here ? 18 : 4));
+    CHECK(granted <= (here ? 21 : 6));
+}
+
+// Guards against decisions that differ between two runs with the same seed, which could not be
+// explained afterwards.
+TEST_CASE("the same seed and the same events give the same decisions")
+{
+    const auto run = []
+    {
+        probing_fixture fixture(8);
+        std::vector<std::string> targets;
+        for (request_id id = 1; id <= 50; ++id)
+        {
+            targets.push_back(fixture.decide(id).target);
+        }
+        return targets;
+    };
+    CHECK(run() == run());
+}
+
+// Guards against an application that answers after it was withdrawn.
+TEST_CASE("a withdrawn application is not answered")
+{
+    probing_fixture fixture;
+    fixture.submit(1);
+    fixture.gateway.cancel(1);
+    fixture.timers.advance(5s);
+    CHECK(fixture.answers.empty());
+    CHECK(fixture.decisions.empty());
+}
--- a/packages/entry/include/catkintally/entry/http/http_head.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_head.hpp
@@ -44,6 +44,12 @@
 /// Reads the framing fields. A Content-Length that is not a plain number counts without a value.
 [[nodiscard]] body_framing framing_of(const header_list& fields);
 
+/// True if a message with these fields leaves its connection open for another one.
+[[nodiscard]] bool allows_reuse(const header_list& fields, bool is_http_1_1);
+
+/// True if a field whose value is a list of names, such as Connection, contains `wanted`.
+[[nodiscard]] bool lists_name(std::string_view value, std::string_view wanted);
+
 /// Compares ASCII letters without regard to case.
 [[nodiscard]] bool equal_names(std::string_view left, std::string_view right);
 
--- a/packages/entry/include/catkintally/entry/http/http_path.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_path.hpp
@@ -62,7 +62,8 @@
     void refuse_unready(caller_call& call);
     [[nodiscard]] const core::service_config* choose_service(const core::route_row& route);
     void run(caller_call& call, exchange_plan plan, const std::string& route);
-    void record(const exchange_plan& plan, const std::string& route, const exchange_summary& summary);
+    void
+    record(const exchange_plan& plan, const std::string& route, const exchange_summary& summary);
 
     http_path_options options_;
     std::optional<core::router> router_;
--- a/packages/entry/include/catkintally/entry/http/response_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/response_reader.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <catkintally/core/fleet/admission_gateway.hpp>
+#include <catkintally/entry/http/body_reader.hpp>
 #include <catkintally/entry/http/read_state.hpp>
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 struct evbuffer;
@@ -30,10 +32,10 @@
 class response_reader
 {
 public:
-    explicit response_reader(const response_rules& rules);
-    ~response_reader();
-    response_reader(const response_reader&) = delete;
-    response_reader& operator=(const response_reader&) = delete;
+    explicit response_reader(const response_rules& rules)
+        : rules_(rules)
+    {
+    }
 
     /// Takes bytes from `input` until the response is whole, more bytes are needed or the response
     /// is refused.
@@ -55,14 +57,12 @@
     [[nodiscard]] bool keeps_connection() const { return keeps_connection_; }
 
 private:
-    struct body_parser;
-
     read_state refuse(std::string what);
     read_state read_head(evbuffer* input);
     read_state read_body(evbuffer* input);
 
     response_rules rules_;
-    std::unique_ptr<body_parser> parser_;
+    std::optional<body_reader> body_;
     std::shared_ptr<core::stored_answer> answer_;
     std::string fault_;
     std::size_t interim_heads_ = 0;
--- a/packages/entry/include/catkintally/entry/process/instance_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/instance_process.hpp
@@ -6,9 +6,9 @@
 #include <catkintally/entry/peers/peer_network.hpp>
 #include <catkintally/entry/process/decision_journal.hpp>
 #include <catkintally/entry/process/target_prober.hpp>
+#include <catkintally/entry/table/table_watcher.hpp>
 #include <catkintally/platform/store/http_object_store.hpp>
 #include <catkintally/platform/store/instance_directory.hpp>
-#include <catkintally/entry/table/table_watcher.hpp>
 #include <catkintally/runtime/generated/settings.generated.hpp>
 
 #include <functional>
--- a/packages/entry/include/catkintally/entry/process/process_parts.hpp
+++ b/packages/entry/include/catkintally/entry/process/process_parts.hpp
@@ -13,8 +13,7 @@
 [[nodiscard]] std::uint64_t random_number();
 
 /// Options of the store's client from the settings.
-[[nodiscard]] platform::platform_api_options
-api_options(const runtime::platform_settings& values);
+[[nodiscard]] platform::platform_api_options api_options(const runtime::platform_settings& values);
 
 /// Adds the counts of calls to the platform's API by kind and result. `api` must outlive the
 /// metrics.
--- a/packages/entry/include/catkintally/entry/process/target_prober.hpp
+++ b/packages/entry/include/catkintally/entry/process/target_prober.hpp
@@ -32,8 +32,7 @@
     target_prober& operator=(const target_prober&) = delete;
 
     /// Sends one GET to the health path of the target. `done` is called once, from the loop.
-    void
-    probe(const core::service_row& service, const core::target_row& target, report_hook done);
+    void probe(const core::service_row& service, const core::target_row& target, report_hook done);
 
     /// Probes sent since the start.
     [[nodiscard]] std::uint64_t sent() const { return sent_; }
--- a/packages/entry/src/http/caller_call.cpp
+++ b/packages/entry/src/http/caller_call.cpp
@@ -6,8 +6,7 @@
 namespace catkintally::entry
 {
 
-caller_call::caller_call(
-    caller_request request, std::function<void(const caller_reply&)> send)
+caller_call::caller_call(caller_request request, std::function<void(const caller_reply&)> send)
     : request_(std::move(request))
     , send_(std::move(send))
 {
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -143,8 +143,7 @@
                                  .deadline_left = std::to_string(left.count()),
                                  .request_id_header = context_.dialect->request_id_header,
                                  .request_id = plan_.request_id,
-                                 .expected_target_header =
-                                     context_.dialect->expected_target_header,
+                                 .expected_target_header = context_.dialect->expected_target_header,
                                  .expected_target = target_,
                                  .caller_address = request.address}),
             .body = request.body,
@@ -330,7 +329,9 @@
     {
         checked.status = 502;
     }
-    finish(checked.status, checked.reason, make_reply(checked, plan_.request_id, context_.dialect->fractional_retry_after));
+    finish(
+        checked.status, checked.reason,
+        make_reply(checked, plan_.request_id, context_.dialect->fractional_retry_after));
 }
 
 void exchange::forward(const core::stored_answer& answer, shared_body body, const char* reason)
--- a/packages/entry/src/http/header_rules.cpp
+++ b/packages/entry/src/http/header_rules.cpp
@@ -17,20 +17,6 @@
     "Transfer-Encoding",  "Upgrade",       "Proxy-Authorization", "Expect", "Content-Length",
     "Proxy-Authenticate", "HTTP2-Settings"};
 
-bool names(std::string_view value, std::string_view wanted)
-{
-    while (!value.empty())
-    {
-        const auto comma = std::min(value.find(','), value.size());
-        if (equal_names(trimmed(value.substr(0, comma)), wanted))
-        {
-            return true;
-        }
-        value.remove_prefix(std::min(comma + 1, value.size()));
-    }
-    return false;
-}
-
 bool is_hop_field(const header_list& fields, std::string_view name)
 {
     return std::any_of(
@@ -38,8 +24,9 @@
                [name](std::string_view hop) { return equal_names(hop, name); }) ||
            std::any_of(
                fields.begin(), fields.end(),
-               [name](const auto& field)
-               { return equal_names(field.first, "Connection") && names(field.second, name); });
+               [name](const auto& field) {
+                   return equal_names(field.first, "Connection") && lists_name(field.second, name);
+               });
 }
 
 } // namespace
--- a/packages/entry/src/http/http_front.cpp
+++ b/packages/entry/src/http/http_front.cpp
@@ -32,12 +32,11 @@
 std::string host_of(const sockaddr* name)
 {
     std::array<char, INET6_ADDRSTRLEN> text{};
-    const void* address = name->sa_family == AF_INET6
-                              ? static_cast<const void*>(
-                                    &reinterpret_cast<const sockaddr_in6*>(name)->sin6_addr)
-                              : &reinterpret_cast<const sockaddr_in*>(name)->sin_addr;
-    const char* written =
-        evutil_inet_ntop(name->sa_family, address, text.data(), text.size());
+    const void* address =
+        name->sa_family == AF_INET6
+            ? static_cast<const void*>(&reinterpret_cast<const sockaddr_in6*>(name)->sin6_addr)
+            : &reinterpret_cast<const sockaddr_in*>(name)->sin_addr;
+    const char* written = evutil_inet_ntop(name->sa_family, address, text.data(), text.size());
     return written == nullptr ? "" : written;
 }
 
@@ -142,10 +141,9 @@
 
 bool http_front::is_busy() const
 {
-    return !calls_.empty() ||
-           std::any_of(
-               connections_.begin(), connections_.end(),
-               [](const auto& each) { return each.second->is_busy(); });
+    return !calls_.empty() || std::any_of(
+                                  connections_.begin(), connections_.end(),
+                                  [](const auto& each) { return each.second->is_busy(); });
 }
 
 void http_front::accept(int socket, std::string address)
@@ -155,20 +153,20 @@
         id, std::make_unique<caller_connection>(
                 loop_.base(), timers_, socket, std::move(address),
                 caller_connection_hooks{
-                    .request = [this, id](std::uint64_t call, caller_request request)
-                    { take({id, call}, std::move(request)); },
+                    .request =
+                        [this, id](std::uint64_t call, caller_request request) {
+                            take({id, call}, std::move(request));
+                        },
                     .refusal = [this](request_fault fault) { return refusal_of(fault); },
                     .ended = [this, id] { end_connection(id); },
                     .closing = [this] { return draining_; },
-                    .limits = [this]() -> const core::caller_limits&
-                    { return options_.limits; }}));
+                    .limits = [this]() -> const core::caller_limits& { return options_.limits; }}));
 }
 
 void http_front::take(const call_key& key, caller_request request)
 {
     auto owned = std::make_unique<caller_call>(
-        std::move(request),
-        [this, key](const caller_reply& response) { end_call(key, response); });
+        std::move(request), [this, key](const caller_reply& response) { end_call(key, response); });
     caller_call& call = *owned;
     calls_.emplace(key, std::move(owned));
     if (call.request().path == health_path)
--- a/packages/entry/src/http/http_head.cpp
+++ b/packages/entry/src/http/http_head.cpp
@@ -129,6 +129,37 @@
     return head;
 }
 
+bool lists_name(std::string_view value, std::string_view wanted)
+{
+    while (!value.empty())
+    {
+        const auto comma = std::min(value.find(','), value.size());
+        if (equal_names(trimmed(value.substr(0, comma)), wanted))
+        {
+            return true;
+        }
+        value.remove_prefix(std::min(comma + 1, value.size()));
+    }
+    return false;
+}
+
+bool allows_reuse(const header_list& fields, bool is_http_1_1)
+{
+    bool keep = is_http_1_1;
+    for (const auto& [name, value] : fields)
+    {
+        if (equal_names(name, "Connection"))
+        {
+            keep = keep || lists_name(value, "keep-alive");
+            if (lists_name(value, "close"))
+            {
+                return false;
+            }
+        }
+    }
+    return keep;
+}
+
 body_framing framing_of(const header_list& fields)
 {
     body_framing framing;
--- a/packages/entry/src/http/http_path.cpp
+++ b/packages/entry/src/http/http_path.cpp
@@ -36,8 +36,7 @@
         return std::nullopt;
     }
     constexpr std::uint64_t most_ms = 86'400'000;
-    return std::min<core::duration>(
-        std::chrono::milliseconds(std::min(*wanted, most_ms)), longest);
+    return std::min<core::duration>(std::chrono::milliseconds(std::min(*wanted, most_ms)), longest);
 }
 
 /// Wait that is advised while no table is known. An instance that starts has one within this time.
--- a/packages/entry/src/http/response_reader.cpp
+++ b/packages/entry/src/http/response_reader.cpp
@@ -3,9 +3,6 @@
 #include <catkintally/entry/http/response_reader.hpp>
 #include <catkintally/entry/http/shared_body.hpp>
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <event2/buffer.h>
 
 #include <cassert>
@@ -14,13 +11,6 @@
 namespace catkintally::entry
 {
 
-namespace http = boost::beast::http;
-
-struct response_reader::body_parser
-{
-    http::response_parser<http::string_body> parser;
-};
-
 namespace
 {
 
@@ -29,13 +19,6 @@
 
 } // namespace
 
-response_reader::response_reader(const response_rules& rules)
-    : rules_(rules)
-{
-}
-
-response_reader::~response_reader() = default;
-
 read_state response_reader::refuse(std::string what)
 {
     fault_ = std::move(what);
@@ -45,7 +28,7 @@
 read_state response_reader::read(evbuffer* input)
 {
     begun_ = begun_ || evbuffer_get_length(input) > 0;
-    while (parser_ == nullptr)
+    while (!body_)
     {
         const read_state head = read_head(input);
         if (head != read_state::done)
@@ -76,77 +59,56 @@
         return ++interim_heads_ > max_interim_heads ? refuse("too many interim responses")
                                                     : read_state::done;
     }
-    const bool passes =
-        verdict == response_verdict::final_head || verdict == response_verdict::final_chunked ||
-        (verdict == response_verdict::close_delimited && rules_.close_delimited);
+    const bool passes = verdict == response_verdict::final_head ||
+                        verdict == response_verdict::final_chunked ||
+                        (verdict == response_verdict::close_delimited && rules_.close_delimited);
     if (!passes)
     {
         return refuse("response head: " + std::string(verdict_name(verdict)));
     }
 
-    // The head has been checked, so both parsers read it alike.
     auto head = parse_http_head(head_text);
     assert(head);
+    const std::string_view line = head->start_line;
     answer_ = std::make_shared<core::stored_answer>();
-    answer_->status =
-        static_cast<std::uint16_t>(parse_number(head->start_line.substr(9, 3)).value());
+    answer_->status = static_cast<std::uint16_t>(parse_number(line.substr(9, 3)).value());
     answer_->headers = std::move(head->fields);
-
-    parser_ = std::make_unique<body_parser>();
-    auto& parser = parser_->parser;
-    parser.eager(true);
-    parser.skip(rules_.head_request);
-    parser.header_limit(static_cast<std::uint32_t>(head_text.size()) + 1);
-    parser.body_limit(rules_.body_bytes);
-    boost::beast::error_code error;
-    parser.put(boost::asio::const_buffer(head_text.data(), head_text.size()), error);
+    keeps_connection_ = allows_reuse(answer_->headers, line.starts_with("HTTP/1.1"));
+    const bool bodiless = rules_.head_request || answer_->status == 204 || answer_->status == 304;
+    body_.emplace(
+        bodiless ? body_framing{} : framing_of(answer_->headers),
+        body_rules{
+            .max_bytes = rules_.body_bytes,
+            .trailers = true,
+            .until_close = verdict == response_verdict::close_delimited});
     evbuffer_drain(input, end);
-    if (error && error != http::error::need_more)
-    {
-        return refuse("response head: " + error.message());
-    }
-    keeps_connection_ = parser.keep_alive();
     return read_state::done;
 }
 
 read_state response_reader::read_body(evbuffer* input)
 {
-    auto& parser = parser_->parser;
-    while (!parser.is_done() && evbuffer_get_length(input) > 0)
-    {
-        const std::string_view text = contiguous_text(input);
-        boost::beast::error_code error;
-        const std::size_t used =
-            parser.put(boost::asio::const_buffer(text.data(), text.size()), error);
-        evbuffer_drain(input, used);
-        if (error == http::error::need_more)
-        {
-            break;
-        }
-        if (error)
-        {
-            return refuse("response body: " + error.message());
-        }
-    }
-    return parser.is_done() ? read_state::done : read_state::more;
+    const read_state state = body_->read(input);
+    return state == read_state::fault
+               ? refuse(
+                     body_->is_too_large() ? "response body too large" : "response body malformed")
+               : state;
 }
 
 read_state response_reader::end_of_input()
 {
-    if (parser_ == nullptr)
+    if (!body_)
     {
         return refuse(begun_ ? "connection closed within the head" : "connection closed");
     }
-    boost::beast::error_code error;
-    parser_->parser.put_eof(error);
     keeps_connection_ = false;
-    return error ? refuse("connection closed within the body") : read_state::done;
+    return body_->end_of_input() == read_state::done ? read_state::done
+                                                     : refuse("connection closed within the body");
 }
 
 std::shared_ptr<core::stored_answer> response_reader::take()
 {
-    assert(parser_ != nullptr);
-    answer_->body = std::move(parser_->parser.get().body());
+    assert(body_);
+    answer_->body = body_->take();
     return std::move(answer_);
 }
 
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -137,10 +137,11 @@
     std::vector<std::string> operators = {settings_.admin.address};
     const auto& health = settings_.admin.health_addresses;
     operators.insert(operators.end(), health.begin(), health.end());
-    const bool all = report(front_.listen(), settings_.callers.address) &&
-                     std::all_of(
-                         operators.begin(), operators.end(), [&](const std::string& address)
-                         { return report(admin_.listen(address), address); });
+    const bool all =
+        report(front_.listen(), settings_.callers.address) &&
+        std::all_of(
+            operators.begin(), operators.end(),
+            [&](const std::string& address) { return report(admin_.listen(address), address); });
     if (!all)
     {
         return false;
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -49,7 +49,7 @@
         out << (out.tellp() > 0 ? "," : "") << each.name << ':';
         if (!each.report.answered)
         {
-            out << "silent";
+            out << (each.pending ? "pending" : "silent");
             continue;
         }
         if (each.report.load)
@@ -108,8 +108,8 @@
     }
     else
     {
-        watcher_ = std::make_unique<table_watcher>(table_watcher_options{
-            .store = &store_, .timers = &timers, .publish = publish});
+        watcher_ = std::make_unique<table_watcher>(
+            table_watcher_options{.store = &store_, .timers = &timers, .publish = publish});
     }
     add_metrics();
 }
@@ -133,9 +133,8 @@
         [](const std::string& service, const std::string& target, std::uint32_t failures)
     {
         log_event(
-            event_id::target_ejected, {{"service", service},
-                                       {"target", target},
-                                       {"failures", std::to_string(failures)}});
+            event_id::target_ejected,
+            {{"service", service}, {"target", target}, {"failures", std::to_string(failures)}});
     };
     return options;
 }
@@ -189,8 +188,7 @@
         [this] { return static_cast<double>(gateway_.ejected_count()); });
     metrics.gauge(
         "catkintally_configuration_version", {},
-        [this]
-        { return follower_ ? static_cast<double>(follower_->version().value_or(0)) : 0.0; });
+        [this] { return follower_ ? static_cast<double>(follower_->version().value_or(0)) : 0.0; });
     metrics.gauge(
         "catkintally_store_in_contact", {},
         [this] { return !follower_ || follower_->is_in_contact() ? 1.0 : 0.0; });
--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -60,13 +60,14 @@
 configuration_follower::configuration_follower(configuration_follower_options options)
     : options_(std::move(options))
     , back_off_(options_.back_off)
-    , registry_(
-          {.decode = [](const core::store_object& object)
-           { return decoded_or_logged(object, platform::decode_target); }})
+    , registry_({.decode = [](const core::store_object& object) {
+        return decoded_or_logged(object, platform::decode_target);
+    }})
 {
     assert(options_.store != nullptr && options_.quiet_store != nullptr);
     assert(options_.timers != nullptr && options_.publish);
-    const auto add = [this](core::object_store* store, std::string_view prefix, core::duration pause)
+    const auto add =
+        [this](core::object_store* store, std::string_view prefix, core::duration pause)
     {
         const std::size_t index = mirrors_.size();
         object_mirror_options mirror = mirror_options(store, prefix, index);
--- a/packages/entry/src/table/target_registry.cpp
+++ b/packages/entry/src/table/target_registry.cpp
@@ -32,14 +32,13 @@
 void log_change(const core::target_registration& registration, const char* state)
 {
     log_event(
-        event_id::target_changed,
-        {{"service", registration.service},
-         {"target", registration.target.name},
-         {"address", registration.target.address},
-         {"failure_domain", registration.target.failure_domain},
-         {"state", state},
-         {"incarnation", std::to_string(registration.started)},
-         {"sequence", std::to_string(registration.sequence)}});
+        event_id::target_changed, {{"service", registration.service},
+                                   {"target", registration.target.name},
+                                   {"address", registration.target.address},
+                                   {"failure_domain", registration.target.failure_domain},
+                                   {"state", state},
+                                   {"incarnation", std::to_string(registration.started)},
+                                   {"sequence", std::to_string(registration.sequence)}});
 }
 
 } // namespace
@@ -74,8 +73,7 @@
             // A target that said farewell is gone for certain.
             const bool farewell =
                 registration.target.state == core::target_admin_state::draining || each.unusable;
-            each.kept_until =
-                farewell ? now : std::max(now + options_.lapse_time, trusted_from);
+            each.kept_until = farewell ? now : std::max(now + options_.lapse_time, trusted_from);
             log_change(registration, farewell ? "gone" : "unlisted");
         }
         if (each.kept_until && now >= *each.kept_until)
@@ -146,8 +144,7 @@
 
 bool target_registry::is_used(const entry& checked)
 {
-    return !checked.unusable && !checked.remembered_until &&
-           (checked.listed || checked.kept_until);
+    return !checked.unusable && !checked.remembered_until && (checked.listed || checked.kept_until);
 }
 
 std::map<std::string, const core::target_registration*> target_registry::targets() const
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -193,9 +193,7 @@
         const auto stale = std::partition(
             kept.begin(), kept.end(),
             [this](const connection_ptr& connection)
-            {
-                return timers_.now() <= connection->idle_until() && connection->is_reusable();
-            });
+            { return timers_.now() <= connection->idle_until() && connection->is_reusable(); });
         std::for_each(
             stale, kept.end(),
             [this](connection_ptr& connection) { retire(std::move(connection)); });
--- a/packages/entry/tests/http/caller_side_test.cpp
+++ b/packages/entry/tests/http/caller_side_test.cpp
@@ -288,3 +288,97 @@
     bench.joined = false;
     CHECK(status_of(bench.ask(health)) == 503);
 }
+
+// Guards against a request that waits unread behind a slow one: it must be at work while the one
+// before it is still unanswered, and its answer must wait for its turn.
+TEST_CASE("requests sent ahead are at work at the same time and answered in order")
+{
+    path_fixture bench;
+    scripted_target slow(bench.loop, {.hold = true});
+    scripted_target fast(
+        bench.loop, {.answer = "HTTP/1.1 201 Made\r\nContent-Length: 4\r\n\r\nfast"});
+    bench.grant({slow.address(), fast.address()});
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send(path_fixture::request("GET") + path_fixture::request("GET"));
+    bench.run_until([&] { return slow.requests == 1 && fast.requests == 1; });
+    bench.run_until([&] { return bench.completed.size() == 1; });
+    bench.settle();
+    CHECK(caller.received.empty());
+    slow.release();
+    std::vector<int> statuses;
+    bench.run_until(
+        [&]
+        {
+            if (const auto response = caller.take_response())
+            {
+                statuses.push_back(status_of(*response));
+            }
+            return statuses.size() == 2;
+        });
+    CHECK(statuses == std::vector<int>{200, 201});
+}
+
+// Guards against requests that were read and passed on but lose their answers because an earlier
+// answer on the connection ends it.
+TEST_CASE("a stopping instance answers everything that was sent ahead before it closes")
+{
+    path_fixture bench;
+    scripted_target target(bench.loop, {.hold = true});
+    bench.grant({target.address()});
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send(
+        path_fixture::request("GET") + path_fixture::request("GET") + path_fixture::request("GET"));
+    bench.run_until([&] { return target.requests == 3; });
+    bool stopped = false;
+    bench.self->stop([&] { stopped = true; });
+    target.release();
+    bench.run_until([&] { return caller.ended; });
+    std::vector<std::string> connections;
+    while (const auto response = caller.take_response())
+    {
+        CHECK(status_of(*response) == 200);
+        connections.push_back(field_of(*response, "Connection"));
+    }
+    CHECK(connections == std::vector<std::string>{"", "", "close"});
+    bench.run_until([&] { return stopped; });
+}
+
+// Guards against chunked bodies that two parsers would end at different places.
+TEST_CASE("chunked bodies are read strictly, in one segment or in many")
+{
+    struct row
+    {
+        std::string body;
+        int status;
+    };
+    const auto sample = GENERATE(values<row>(
+        {{"2\r\nab\r\n0\r\n\r\n", 200},
+         {"0A\r\n0123456789\r\n000\r\n\r\n", 200},
+         {"1;a=b\r\nx\r\n0\r\n\r\n", 400},
+         {"2\r\nab0\r\n\r\n", 400},
+         {"\r\n", 400},
+         {"-1\r\n", 400},
+         {"0x1\r\n", 400},
+         {"10000000000000000\r\n", 400},
+         {"11\r\n12345678901234567\r\n0\r\n\r\n", 413},
+         {"9\r\n123456789\r\n8\r\n12345678\r\n0\r\n\r\n", 413},
+         {"0\r\nA: b\r\n\r\n", 400}}));
+    const bool pieces = GENERATE(false, true);
+    INFO(sample.body);
+    path_fixture bench([](auto& values) { values.callers.body_bytes = 16; });
+    scripted_target target(bench.loop, {});
+    bench.grant({target.address()});
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send("POST /pay HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t at = 0; at < sample.body.size();)
+    {
+        const std::size_t step = pieces ? 1 : sample.body.size();
+        caller.send(sample.body.substr(at, step));
+        at += step;
+        bench.settle();
+    }
+    std::optional<std::string> response;
+    bench.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == sample.status);
+    CHECK(target.requests == (sample.status == 200 ? 1 : 0));
+}
--- a/packages/entry/tests/support/path_fixture.cpp
+++ b/packages/entry/tests/support/path_fixture.cpp
@@ -74,7 +74,8 @@
     return response;
 }
 
-path_fixture::path_fixture(const std::function<void(runtime::settings&)>& adjust)
+path_fixture::path_fixture(
+    const std::function<void(runtime::settings&)>& adjust, core::target_dialect dialect)
 {
     // As in the program: a peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -83,7 +84,9 @@
     values.admin.address = "127.0.0.1:0";
     values.stop.drain_ms = 0;
     adjust(values);
-    self = std::make_unique<instance>(loop, timers, values, hooks());
+    instance_hooks used = hooks();
+    used.dialect = std::move(dialect);
+    self = std::make_unique<instance>(loop, timers, values, std::move(used));
     REQUIRE(self->listen());
 
     auto table = std::make_shared<core::table_snapshot>();
--- a/packages/entry/tests/support/path_fixture.hpp
+++ b/packages/entry/tests/support/path_fixture.hpp
@@ -47,7 +47,8 @@
 {
 public:
     explicit path_fixture(
-        const std::function<void(runtime::settings&)>& adjust = [](runtime::settings&) {});
+        const std::function<void(runtime::settings&)>& adjust = [](runtime::settings&) {},
+        core::target_dialect dialect = {});
 
     /// Runs the loop until the condition holds; fails the test if it never does.
     void run_until(const std::function<bool()>& condition);
--- /dev/null
+++ b/packages/entry/tests/table/configuration_follower_test.cpp
@@ -0,0 +1,168 @@
+#include "platform_support/store_fixture.hpp"
+
+#include <catkintally/entry/table/configuration_follower.hpp>
+
+using namespace catkintally;
+using namespace catkintally::entry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string configuration(int version, const std::string& prefix)
+{
+    return R"({"version":"0000000)" + std::to_string(version) + R"(",
+"limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,
+"idle-timeout-ms":15000},"listeners":[{"host":"a.example","rules":[{"name":"r1",
+"route-type":"safe","target-latency-ms":200,"priority":1,"match":{"path-prefix":")" +
+           prefix + R"("},"action":{"service":"desk","timeout-ms":800,"max-attempts":2}}]}],
+"clusters":[{"name":"desk","health-path":"/healthz","max-connections":220,"protocol":"h1",
+"tls":false,"warmup-s":3.0,"warmup-per-s":5.9}]})";
+}
+
+std::string target(const std::string& state, int sequence)
+{
+    return R"({"address":"10.0.0.9:80","info":{"service":"desk","version":"v1","zone":"d1",
+"concurrency":2},"status":{"state":")" +
+           state + R"(","sequence":)" + std::to_string(sequence) +
+           R"(,"warmup-left-ms":0},"born":7})";
+}
+
+/// The stand-in with one configuration and one target, and a follower of it.
+struct follower_fixture : platform::store_fixture
+{
+    explicit follower_fixture()
+        : store_fixture(200ms)
+        , watched(api, {.watch_wait = 300ms})
+        , quiet(api, {.watch_wait = 10s})
+        , follower(
+              {.store = &watched,
+               .quiet_store = &quiet,
+               .timers = &timers,
+               .back_off = {.first = 20ms, .limit = 50ms, .seed = 1},
+               .publish = [this](auto published) { table = std::move(published); }})
+    {
+        stand_in.store().put("config/main", configuration(1, "/one/"), 0);
+        stand_in.store().put("servers/i-1", target("ready", 1), 0);
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        stand_in.store().put(key, value, std::nullopt);
+        stand_in.notify_watches();
+    }
+
+    bool reach(const std::function<bool()>& condition)
+    {
+        return runtime::run_until(
+            loop, timers, [&] { return table && condition(); }, 20s);
+    }
+
+    platform::http_object_store watched;
+    platform::http_object_store quiet;
+    std::shared_ptr<const core::table_snapshot> table;
+    configuration_follower follower;
+};
+
+} // namespace
+
+// Guards against a change that does not come into force, and against a table before everything is
+// known.
+TEST_CASE("changes of each kind come into force")
+{
+    follower_fixture fixture;
+    fixture.follower.start();
+    REQUIRE(fixture.reach([] { return true; }));
+    CHECK(fixture.follower.version() == 1);
+    REQUIRE(fixture.table->services.at("desk").targets.size() == 1);
+    CHECK(fixture.table->routes.at(0).path_prefix == "/one/");
+
+    fixture.put("config/main", configuration(2, "/two/"));
+    CHECK(fixture.reach([&] { return fixture.table->routes.at(0).path_prefix == "/two/"; }));
+    fixture.put("evacuations/d1", "{}");
+    CHECK(fixture.reach([&] { return fixture.table->is_out("d1"); }));
+    fixture.stand_in.control({{"seed", 1}});
+    fixture.stand_in.store().remove("evacuations/d1", std::nullopt);
+    fixture.stand_in.notify_watches();
+    CHECK(fixture.reach([&] { return !fixture.table->is_out("d1"); }));
+    fixture.put("servers/i-1", target("draining", 2));
+    CHECK(fixture.reach(
+        [&]
+        {
+            return fixture.table->services.at("desk").targets.at(0).state ==
+                   core::target_admin_state::draining;
+        }));
+}
+
+// Guards against a configuration that goes back to an earlier version, and against one that cannot
+// be read and takes the place of a good one.
+TEST_CASE("a configuration is replaced only by a later one that can be read")
+{
+    const std::string bad = GENERATE(as<std::string>(), "{}", configuration(2, "/old/"));
+    follower_fixture fixture;
+    fixture.put("config/main", configuration(3, "/three/"));
+    fixture.follower.start();
+    REQUIRE(fixture.reach([&] { return fixture.follower.version() == 3; }));
+    fixture.put("config/main", bad);
+    fixture.put("evacuations/d1", "{}");
+    REQUIRE(fixture.reach([&] { return fixture.table->is_out("d1"); }));
+    CHECK(fixture.table->routes.at(0).path_prefix == "/three/");
+    fixture.put("config/main", configuration(4, "/four/"));
+    CHECK(fixture.reach([&] { return fixture.table->routes.at(0).path_prefix == "/four/"; }));
+}
+
+// Guards against an instance that stays on old news after the store was away: refusing, silent, or
+// without the history that the watches ask for. The silent case failed on the bench, where watches
+// were cut without a sign.
+TEST_CASE("news of all kinds are in force once the store is back")
+{
+    const std::string fault = GENERATE(as<std::string>(), "outage", "silent", "forget_history");
+    INFO(fault);
+    follower_fixture fixture;
+    fixture.follower.start();
+    REQUIRE(fixture.reach([] { return true; }));
+
+    fixture.stand_in.control({{fault, true}});
+    if (fault != "forget_history")
+    {
+        REQUIRE(fixture.reach([&] { return !fixture.follower.is_in_contact(); }));
+    }
+    // Changed without a word to the waiting watches.
+    fixture.stand_in.store().put("config/main", configuration(2, "/two/"), std::nullopt);
+    fixture.stand_in.store().put("evacuations/d1", "{}", 0);
+    fixture.stand_in.control({{fault, true}});
+    fixture.stand_in.store().put("servers/i-1", target("draining", 2), std::nullopt);
+    if (fault == "forget_history")
+    {
+        fixture.stand_in.control({{"outage", true}});
+    }
+    fixture.stand_in.control({{"outage", false}, {"silent", false}});
+    CHECK(fixture.reach(
+        [&]
+        {
+            return fixture.table->is_out("d1") && fixture.follower.version() == 2 &&
+                   fixture.table->services.at("desk").targets.at(0).state ==
+                       core::target_admin_state::draining;
+        }));
+    CHECK(fixture.follower.is_in_contact());
+}
+
+// Guards against calls that pile up while the store is away: each one is paid for.
+TEST_CASE("one call at a time is made while the store is away")
+{
+    follower_fixture fixture;
+    fixture.follower.start();
+    REQUIRE(fixture.reach([] { return true; }));
+    fixture.stand_in.control({{"outage", true}});
+    REQUIRE(fixture.reach([&] { return !fixture.follower.is_in_contact(); }));
+    const auto refused = [&]
+    {
+        return fixture.api.counts().results[std::size_t(platform::call_kind::list)]
+                                           [std::size_t(core::store_status::unavailable)];
+    };
+    const auto before = refused();
+    const auto begin = fixture.timers.now();
+    REQUIRE(fixture.reach([&] { return refused() >= before + 10; }));
+    // Pauses are between 10 and 50 ms; three mirrors that asked on their own would need a third.
+    CHECK(fixture.timers.now() - begin >= 10 * 10ms);
+}
--- /dev/null
+++ b/packages/entry/tests/table/target_registry_test.cpp
@@ -0,0 +1,111 @@
+#include <catkintally/entry/table/target_registry.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <charconv>
+
+using namespace catkintally;
+using namespace catkintally::entry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Objects whose value is "STARTED SEQUENCE STATE"; any other value cannot be used.
+std::optional<core::target_registration> decode(const core::store_object& object)
+{
+    core::target_registration read;
+    char state = 0;
+    if (std::sscanf(object.value.c_str(), "%lu %lu %c", &read.started, &read.sequence, &state) != 3)
+    {
+        return std::nullopt;
+    }
+    read.target.name = object.key;
+    read.target.state =
+        state == 'd' ? core::target_admin_state::draining : core::target_admin_state::in;
+    return read;
+}
+
+/// One step: the object's value at a time in milliseconds ("" for no object), and what the target
+/// is afterwards: 'i' in use, 'd' draining, '-' not used.
+struct step
+{
+    int at_ms;
+    const char* value;
+    char state;
+};
+
+struct history
+{
+    const char* name;
+    std::vector<step> steps;
+    /// Entries that are missing before this time may have lapsed.
+    int trusted_from_ms = 0;
+};
+
+} // namespace
+
+// Guards against late news that revive a target which is leaving or gone, against entries of other
+// writers that are used or that hide a target for good, and against targets that are dropped
+// because their entries lapsed while the store was away.
+TEST_CASE("the newest word of a target counts")
+{
+    const std::vector<history> histories = {
+        {"joins, leaves, goes", {{0, "1 1 r", 'i'}, {10, "1 2 d", 'd'}, {20, "", '-'}}},
+        {"an older word after the farewell",
+         {{0, "1 5 r", 'i'}, {10, "1 6 d", 'd'}, {20, "1 5 r", 'd'}}},
+        {"an older word after the end",
+         {{0, "1 6 d", 'd'}, {10, "", '-'}, {20, "1 5 r", '-'}, {30, "1 5 r", '-'}}},
+        {"a new incarnation after the end", {{0, "1 6 d", 'd'}, {10, "", '-'}, {20, "2 1 r", 'i'}}},
+        {"an earlier incarnation after a new one",
+         {{0, "2 1 r", 'i'}, {10, "1 9 d", 'i'}, {20, "2 2 d", 'd'}}},
+        {"an entry that cannot be used, then the target's own",
+         {{0, "1 1 r", 'i'}, {10, "broken", '-'}, {20, "1 2 r", 'i'}}},
+        {"a lapsed entry that comes back",
+         {{0, "1 1 r", 'i'}, {10, "", 'i'}, {1000, "", 'i'}, {1400, "1 3 r", 'i'}}},
+        {"a lapsed entry that stays away",
+         {{0, "1 1 r", 'i'}, {10, "", 'i'}, {1509, "", 'i'}, {1510, "", '-'}}},
+        {"a lapsed entry after the store was away",
+         {{0, "1 1 r", 'i'}, {5000, "", 'i'}, {7199, "", 'i'}, {7200, "", '-'}},
+         7200}};
+    for (const history& each : histories)
+    {
+        INFO(each.name);
+        target_registry registry({.decode = decode});
+        std::uint64_t version = 0;
+        std::string last;
+        for (const step& now : each.steps)
+        {
+            INFO(now.at_ms << " ms: " << now.value);
+            std::map<std::string, core::store_object> objects;
+            if (*now.value != '\0')
+            {
+                version += now.value == last ? 0 : 1;
+                objects["t"] = {.key = "t", .version = version, .value = now.value};
+            }
+            last = now.value;
+            registry.apply(
+                objects, core::time_point(std::chrono::milliseconds(now.at_ms)),
+                core::time_point(std::chrono::milliseconds(each.trusted_from_ms)));
+            const auto targets = registry.targets();
+            const char state = targets.empty() ? '-'
+                               : targets.at("t")->target.state == core::target_admin_state::in
+                                   ? 'i'
+                                   : 'd';
+            CHECK(state == now.state);
+        }
+    }
+}
+
+// Guards against an entry that is kept for good because nobody looks again.
+TEST_CASE("the registry says when a kept entry ends")
+{
+    target_registry registry({.decode = decode});
+    const core::time_point start{};
+    const std::map<std::string, core::store_object> listed = {
+        {"t", {.key = "t", .version = 1, .value = "1 1 r"}}};
+    CHECK_FALSE(registry.apply(listed, start, start));
+    CHECK(registry.apply({}, start + 1s, start) == start + 2500ms);
+    CHECK(registry.apply({}, start + 2s, start) == start + 2500ms);
+    CHECK_FALSE(registry.apply({}, start + 2500ms, start));
+}
--- a/packages/runtime/tests/settings/settings_loader_test.cpp
+++ b/packages/runtime/tests/settings/settings_loader_test.cpp
@@ -56,9 +56,9 @@
          {"[peers]\nseeds = 127.0.0.1:1, x\n",
           "x.ini: [peers] seeds: bad value, expected IP addresses with ports, separated by "
           "commas"},
-         {"[admission]\nmode = random\n",
-          "x.ini: [admission] mode: bad value, expected one of owner probing round_robin two_choices "
-          "least_in_flight"}}));
+         {"[admission]\nmode = random\n", "x.ini: [admission] mode: bad value, expected one of "
+                                          "owner probing round_robin two_choices "
+                                          "least_in_flight"}}));
     CHECK(refusal(minimal + sample.added) == sample.line);
 }
 
--- a/packages/stand_ins/src/platform/platform_stand_in.cpp
+++ b/packages/stand_ins/src/platform/platform_stand_in.cpp
@@ -169,7 +169,8 @@
     started->if_version = asked.number("revision");
     started->after = asked.text("after");
     started->from = asked.number("watch").value_or(0);
-    started->watch_limit = milliseconds(std::min(asked.number("wait-ms").value_or(0), max_watch_ms));
+    started->watch_limit =
+        milliseconds(std::min(asked.number("wait-ms").value_or(0), max_watch_ms));
     const bool watch = !asked.text("watch").empty();
     if (asked.path.starts_with(objects_path) && asked.path.size() > objects_path.size())
     {
@@ -399,8 +400,7 @@
     }
     const bool more = it != objects.end() && it->first.starts_with(prefix);
     out += std::string(R"(],"more":)") + (more ? "true" : "false");
-    running.set_answer(
-        200, out + R"(,"store-revision":)" + std::to_string(store_.version()) + "}");
+    running.set_answer(200, out + R"(,"store-revision":)" + std::to_string(store_.version()) + "}");
 }
 
 void platform_stand_in::execute_write(call& running)
