--- /dev/null
+++ b/packages/core/include/catkintally/core/news/reader_duty.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <catkintally/core/admission/split_mix.hpp>
+#include <catkintally/core/time/timer_service.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace catkintally::core
+{
+
+/// Fixed inputs of a reader_duty.
+struct reader_duty_options
+{
+    /// Source of time; must outlive the object.
+    timer_service* timers = nullptr;
+    /// Identity of this run of the instance; unique in the fleet.
+    std::string self;
+    std::uint64_t seed = 0;
+    /// Instances that read the store while all is well. Two, so that the loss of one leaves no gap.
+    std::size_t wanted_readers = 2;
+    /// Without a reader's word for this long, the news may be old. Readers give word every 0.7 s,
+    /// so one word may be missed; and the rest of the two seconds in which a change must be in
+    /// force is for reading the store.
+    duration stale_after = std::chrono::milliseconds(1500);
+    /// Instances that miss the news turn to the store at random within this span, so that the first
+    /// of them can tell the others.
+    duration spread = std::chrono::milliseconds(150);
+    /// As `spread`, for an instance that starts.
+    duration start_spread = std::chrono::milliseconds(60);
+    /// Estimated number of live instances.
+    std::function<std::size_t()> instances;
+    /// Starts or stops reading the store.
+    std::function<void(bool)> read;
+    /// News are heard of again after they were stale.
+    std::function<void()> fresh_again{};
+};
+
+/// Decides whether this instance reads the store or lives on what other instances pass on. Every
+/// instance decides alone, from what the readers say about their calls; none is special, and each
+/// turns to the store by itself when it hears of no reader. While the store answers nobody, only a
+/// few keep asking, because each call counts.
+class reader_duty
+{
+public:
+    explicit reader_duty(reader_duty_options options);
+    ~reader_duty();
+    reader_duty(const reader_duty&) = delete;
+    reader_duty& operator=(const reader_duty&) = delete;
+
+    /// Begins to decide.
+    void start();
+
+    /// A reader said that the store has answered it, or that it has not. `age` is how long ago.
+    void heard_reader(const std::string& reader, bool reached, duration age);
+
+    /// A call of this instance was answered, or failed.
+    void own_call(bool reached);
+
+    /// True if this instance reads the store.
+    [[nodiscard]] bool is_reading() const { return reading_; }
+
+    /// True if the store has answered this instance or a reader that it hears of.
+    [[nodiscard]] bool is_fresh() const;
+
+    /// Since when the news are as they are now known to be; nothing before the first word.
+    [[nodiscard]] std::optional<time_point> last_reached() const { return last_reached_; }
+
+private:
+    /// Why this instance may have to read the store.
+    enum class need : std::uint8_t
+    {
+        none,
+        /// Nobody is heard of.
+        news,
+        /// Some have tried in vain; the store may turn away only them.
+        another_try,
+        /// There are fewer readers than wanted.
+        second_reader
+    };
+    struct reader
+    {
+        std::optional<time_point> reached;
+        std::optional<time_point> failed;
+    };
+
+    void note(const std::string& name, bool reached, time_point at);
+    void evaluate();
+    void plan(need wanted);
+    void volunteer();
+    void set_reading(bool reading);
+    [[nodiscard]] std::size_t fresh_readers() const;
+    [[nodiscard]] std::size_t preferred_readers(bool failing) const;
+    [[nodiscard]] bool is_superfluous() const;
+    [[nodiscard]] need current_need() const;
+    [[nodiscard]] std::size_t failing_readers() const;
+    [[nodiscard]] bool is_recent(const std::optional<time_point>& when) const;
+    [[nodiscard]] duration random_within(duration span);
+
+    reader_duty_options options_;
+    split_mix random_;
+    std::map<std::string, reader> readers_;
+    std::optional<time_point> last_reached_;
+    bool reading_ = false;
+    bool was_fresh_ = false;
+    need planned_ = need::none;
+    time_point reading_since_{};
+    timer_id check_timer_ = 0;
+    timer_id volunteer_timer_ = 0;
+};
+
+/// Order in which instances prefer readers; the same everywhere. Lower is preferred.
+[[nodiscard]] std::uint64_t reader_rank(const std::string& name);
+
+} // namespace catkintally::core
--- a/packages/core/src/fleet/fleet_node_messages.cpp
+++ b/packages/core/src/fleet/fleet_node_messages.cpp
@@ -109,7 +109,12 @@
         client_.on_answer_reply(peer.id, *message.Asanswer_reply());
         break;
     case wire::payload::hello:
+    case wire::payload::news_update:
+    case wire::payload::news_pull:
+    case wire::payload::reader_word:
+    case wire::payload::peer_sample:
     case wire::payload::NONE:
+        // Of links, and of instances that pass on news; not of this node.
         break;
     }
 }
--- /dev/null
+++ b/packages/core/src/news/reader_duty.cpp
@@ -0,0 +1,256 @@
+#include <catkintally/core/news/reader_duty.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace catkintally::core
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A reader keeps its duty for this long at least, so that two that begin together do not both end.
+constexpr duration shortest_duty = std::chrono::seconds(1);
+
+/// With this many instances failing at the store, its absence is believed to be general.
+constexpr std::size_t enough_failing = 4;
+
+/// While the store is believed absent, one further instance a second looks for itself, because the
+/// store may turn away only some instances.
+constexpr duration exploration = std::chrono::seconds(1);
+
+/// How soon a missing second reader is replaced.
+constexpr duration replacement = std::chrono::seconds(2);
+
+/// Readers that said nothing for this long are forgotten.
+constexpr duration memory = std::chrono::seconds(10);
+
+} // namespace
+
+std::uint64_t reader_rank(const std::string& name)
+{
+    // FNV-1a with 64 bits, mixed so that similar names lie far apart.
+    std::uint64_t hash = 0xcbf29ce484222325U;
+    for (const unsigned char c : name)
+    {
+        hash = (hash ^ c) * 0x100000001b3U;
+    }
+    return split_mix(hash).next();
+}
+
+reader_duty::reader_duty(reader_duty_options options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+{
+    assert(options_.timers != nullptr && options_.instances && options_.read);
+}
+
+reader_duty::~reader_duty()
+{
+    options_.timers->cancel(check_timer_);
+    options_.timers->cancel(volunteer_timer_);
+}
+
+void reader_duty::start()
+{
+    plan(need::news);
+}
+
+duration reader_duty::random_within(duration span)
+{
+    const auto ticks = static_cast<std::uint64_t>(std::max<duration::rep>(span.count(), 1));
+    return duration(static_cast<duration::rep>(random_.next() % ticks));
+}
+
+bool reader_duty::is_recent(const std::optional<time_point>& when) const
+{
+    return when && options_.timers->now() - *when < options_.stale_after;
+}
+
+bool reader_duty::is_fresh() const
+{
+    return is_recent(last_reached_);
+}
+
+std::size_t reader_duty::fresh_readers() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        readers_.begin(), readers_.end(),
+        [this](const auto& each) { return is_recent(each.second.reached); }));
+}
+
+std::size_t reader_duty::preferred_readers(bool failing) const
+{
+    const auto own = reader_rank(options_.self);
+    return static_cast<std::size_t>(std::count_if(
+        readers_.begin(), readers_.end(),
+        [&](const auto& each)
+        {
+            return is_recent(failing ? each.second.failed : each.second.reached) &&
+                   reader_rank(each.first) < own;
+        }));
+}
+
+std::size_t reader_duty::failing_readers() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        readers_.begin(), readers_.end(),
+        [this](const auto& each) { return is_recent(each.second.failed); }));
+}
+
+void reader_duty::heard_reader(const std::string& reader, bool reached, duration age)
+{
+    note(reader, reached, options_.timers->now() - age);
+}
+
+void reader_duty::own_call(bool reached)
+{
+    if (reading_)
+    {
+        note(options_.self, reached, options_.timers->now());
+    }
+}
+
+void reader_duty::note(const std::string& name, bool reached, time_point at)
+{
+    reader& noted = readers_[name];
+    if (reached)
+    {
+        noted.reached = std::max(noted.reached.value_or(at), at);
+        noted.failed.reset();
+        last_reached_ = std::max(last_reached_.value_or(at), at);
+    }
+    else
+    {
+        noted.failed = at;
+        noted.reached.reset();
+    }
+    if (!std::exchange(was_fresh_, is_fresh()) && was_fresh_ && options_.fresh_again)
+    {
+        options_.fresh_again();
+    }
+    evaluate();
+}
+
+void reader_duty::evaluate()
+{
+    const auto now = options_.timers->now();
+    std::erase_if(
+        readers_,
+        [&](const auto& each)
+        {
+            const time_point last = std::max(
+                each.second.reached.value_or(time_point{}),
+                each.second.failed.value_or(time_point{}));
+            return now - last > memory;
+        });
+    was_fresh_ = is_fresh();
+
+    if (reading_ && is_superfluous())
+    {
+        set_reading(false);
+    }
+    if (!reading_)
+    {
+        plan(current_need());
+    }
+
+    // Look again when the newest word becomes old.
+    options_.timers->cancel(check_timer_);
+    if (was_fresh_)
+    {
+        check_timer_ = options_.timers->schedule_after(
+            *last_reached_ + options_.stale_after - now,
+            [this]
+            {
+                check_timer_ = 0;
+                evaluate();
+            });
+    }
+    else
+    {
+        check_timer_ = 0;
+    }
+}
+
+bool reader_duty::is_superfluous() const
+{
+    const auto own = readers_.find(options_.self);
+    const bool failing = own != readers_.end() && own->second.failed.has_value();
+    if (failing)
+    {
+        // Others reach the store, or enough others try.
+        return is_fresh() || preferred_readers(true) >= enough_failing;
+    }
+    return options_.timers->now() - reading_since_ >= shortest_duty &&
+           preferred_readers(false) >= options_.wanted_readers;
+}
+
+reader_duty::need reader_duty::current_need() const
+{
+    if (!is_fresh())
+    {
+        return failing_readers() >= enough_failing ? need::another_try : need::news;
+    }
+    return fresh_readers() < options_.wanted_readers && options_.instances() > 1
+               ? need::second_reader
+               : need::none;
+}
+
+void reader_duty::plan(need wanted)
+{
+    if (planned_ == wanted)
+    {
+        return;
+    }
+    planned_ = wanted;
+    options_.timers->cancel(std::exchange(volunteer_timer_, 0));
+    duration delay{};
+    switch (wanted)
+    {
+    case need::none:
+        return;
+    case need::news:
+        delay = random_within(last_reached_ ? options_.spread : options_.start_spread);
+        break;
+    case need::another_try:
+        delay = random_within(
+            exploration *
+            (2 * static_cast<duration::rep>(std::max<std::size_t>(options_.instances(), 1))));
+        break;
+    case need::second_reader:
+        delay = milliseconds(50) + random_within(replacement);
+        break;
+    }
+    volunteer_timer_ = options_.timers->schedule_after(
+        delay,
+        [this]
+        {
+            volunteer_timer_ = 0;
+            volunteer();
+        });
+}
+
+void reader_duty::volunteer()
+{
+    planned_ = need::none;
+    if (!reading_ && current_need() != need::none)
+    {
+        set_reading(true);
+    }
+}
+
+void reader_duty::set_reading(bool reading)
+{
+    reading_ = reading;
+    reading_since_ = options_.timers->now();
+    readers_.erase(options_.self);
+    planned_ = need::none;
+    options_.timers->cancel(std::exchange(volunteer_timer_, 0));
+    options_.read(reading);
+}
+
+} // namespace catkintally::core
--- a/packages/core/tests/admission/probing_gateway_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_test.cpp
@@ -25,7 +25,7 @@
         options.failure_domain = "here";
         options.probe = [this](
                             const service_config&, const target_row& target,
-                            std::function<void(probe_report)> done)
+                            const std::function<void(probe_report)>& done)
         {
             asked.push_back(target.name);
             const auto found = reports.find(target.name);
@@ -76,7 +76,8 @@
         request.idempotent = true;
         request.retry = retry;
         request.excluded_targets = std::move(excluded);
-        gateway.ask(request, [this, id](admission_answer answer) { answers[id] = answer; });
+        gateway.ask(
+            request, [this, id](admission_answer answer) { answers[id] = std::move(answer); });
     }
 
     /// Submits a request and runs the time until it is decided.
@@ -318,7 +319,7 @@
     request_id id = 0;
     const auto fail_next = [&]
     {
-        const std::string target = fixture.decide(++id).target;
+        std::string target = fixture.decide(++id).target;
         fixture.complete(id, completion_outcome::connection_lost, 0);
         return target;
     };
--- /dev/null
+++ b/packages/core/tests/news/reader_duty_test.cpp
@@ -0,0 +1,245 @@
+#include <catkintally/core/news/reader_duty.hpp>
+#include <catkintally/core/time/manual_timer_service.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <set>
+#include <vector>
+
+using namespace catkintally::core;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A fleet whose readers call a store every 0.7 s and tell everyone. Instances can be dead, cut off
+/// from the others or turned away by the store.
+class fleet
+{
+public:
+    explicit fleet(std::size_t size)
+    {
+        for (std::size_t index = 0; index < size; ++index)
+        {
+            members_.push_back(std::make_unique<member>());
+            member& added = *members_.back();
+            added.name = "i" + std::to_string(index);
+            added.duty = std::make_unique<reader_duty>(reader_duty_options{
+                .timers = &timers,
+                .self = added.name,
+                .seed = index + 1,
+                .instances = [size] { return size; },
+                .read = [this, &added](bool reading) { on_read(added, reading); }});
+        }
+        for (const auto& each : members_)
+        {
+            each->duty->start();
+        }
+    }
+
+    void run(duration time)
+    {
+        const time_point end = timers.now() + time;
+        while (timers.now() < end)
+        {
+            timers.advance(10ms);
+            for (const auto& each : members_)
+            {
+                const bool news = each->duty->last_reached().has_value();
+                const duration age =
+                    news ? timers.now() - *each->duty->last_reached() : duration::zero();
+                worst_age =
+                    !dead.contains(each->name) && news ? std::max(worst_age, age) : worst_age;
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<std::string> readers() const
+    {
+        std::vector<std::string> names;
+        for (const auto& each : members_)
+        {
+            if (each->duty->is_reading() && !dead.contains(each->name))
+            {
+                names.push_back(each->name);
+            }
+        }
+        return names;
+    }
+
+    [[nodiscard]] bool is_fresh(const std::string& name) const
+    {
+        for (const auto& each : members_)
+        {
+            if (each->name == name)
+            {
+                return each->duty->is_fresh();
+            }
+        }
+        return false;
+    }
+
+    manual_timer_service timers;
+    std::set<std::string> dead;
+    /// Instances whose words reach nobody and that hear nobody.
+    std::set<std::string> alone;
+    /// Instances that the store turns away.
+    std::set<std::string> refused;
+    bool store_down = false;
+    int calls = 0;
+    /// Longest time without a reader's word at any living instance.
+    duration worst_age{};
+
+private:
+    struct member
+    {
+        std::string name;
+        std::unique_ptr<reader_duty> duty;
+        timer_id next_call = 0;
+    };
+
+    void on_read(member& self, bool reading)
+    {
+        timers.cancel(self.next_call);
+        self.next_call = 0;
+        if (reading)
+        {
+            self.next_call = timers.schedule_after(5ms, [this, &self] { call(self); });
+        }
+    }
+
+    void call(member& self)
+    {
+        if (dead.contains(self.name))
+        {
+            return;
+        }
+        ++calls;
+        const bool reached = !store_down && !refused.contains(self.name);
+        self.next_call = timers.schedule_after(700ms, [this, &self] { call(self); });
+        self.duty->own_call(reached);
+        timers.schedule_after(
+            15ms,
+            [this, name = self.name, reached]
+            {
+                for (const auto& each : members_)
+                {
+                    const bool hears = each->name != name && !dead.contains(each->name) &&
+                                       !alone.contains(each->name) && !alone.contains(name);
+                    if (hears)
+                    {
+                        each->duty->heard_reader(name, reached, 15ms);
+                    }
+                }
+            });
+    }
+
+    std::vector<std::unique_ptr<member>> members_;
+};
+
+} // namespace
+
+// Guards against a fleet in which each instance pays for calls of its own.
+TEST_CASE("a calm fleet has a few readers whatever its size")
+{
+    const std::size_t size = GENERATE(1, 2, 13, 120);
+    fleet all(size);
+    all.run(10s);
+    CHECK(all.readers().size() == std::min<std::size_t>(size, 2));
+    const int before = all.calls;
+    all.run(20s);
+    CHECK(all.calls - before <= 2 * 30);
+    CHECK(all.worst_age < 1500ms);
+}
+
+// Guards against instances that run on old news after their readers died without a sign: a change
+// must be in force within two seconds, also at that moment.
+TEST_CASE("readers that fall silent are replaced before news are two seconds old")
+{
+    const std::size_t size = GENERATE(3, 13, 120);
+    const bool herd = GENERATE(false, true);
+    fleet all(size);
+    all.run(10s);
+    for (int round = 0; round < 3 && all.dead.size() + 3 < size; ++round)
+    {
+        for (const std::string& name : all.readers())
+        {
+            all.dead.insert(name);
+        }
+        for (std::size_t index = 0; herd && index < size / 4; ++index)
+        {
+            all.dead.insert("i" + std::to_string(index));
+        }
+        const int before = all.calls;
+        all.run(4s);
+        CHECK(all.worst_age < 1800ms);
+        CHECK(!all.readers().empty());
+        CHECK(all.calls - before < 60);
+    }
+}
+
+// Guards against an instance that trusts silence when it is cut off from the others.
+TEST_CASE("an instance that hears nobody reads the store itself")
+{
+    fleet all(13);
+    all.run(10s);
+    all.alone = {"i3", "i7"};
+    all.run(5s);
+    CHECK(all.worst_age < 1800ms);
+    const auto readers = all.readers();
+    for (const char* name : {"i3", "i7"})
+    {
+        CHECK(std::count(readers.begin(), readers.end(), name) == 1);
+        CHECK(all.is_fresh(name));
+    }
+    // Back among the others, the surplus readers end.
+    all.alone.clear();
+    all.run(10s);
+    CHECK(all.readers().size() == 2);
+}
+
+// Guards against a fleet that loses the store because it turns its readers away.
+TEST_CASE("readers that the store turns away are replaced by others")
+{
+    fleet all(13);
+    all.run(10s);
+    for (int round = 0; round < 2; ++round)
+    {
+        for (const std::string& name : all.readers())
+        {
+            all.refused.insert(name);
+        }
+        all.run(4s);
+        CHECK(all.worst_age < 1800ms);
+        const auto readers = all.readers();
+        CHECK(std::any_of(
+            readers.begin(), readers.end(),
+            [&](const auto& name) { return !all.refused.contains(name); }));
+    }
+}
+
+// Guards against a fleet that multiplies its calls while the store is down, and against one that
+// does not notice its return.
+TEST_CASE("few instances ask an absent store and its return is noticed")
+{
+    const std::size_t size = GENERATE(13, 120);
+    fleet all(size);
+    all.run(10s);
+    all.store_down = true;
+    const int before = all.calls;
+    all.run(10s);
+    const int during = all.calls - before;
+    INFO(during << " calls");
+    // About four instances ask every 0.7 s, and one more joins each second.
+    CHECK(during >= 20);
+    CHECK(during < 250);
+    all.store_down = false;
+    all.run(1s);
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        CHECK(all.is_fresh("i" + std::to_string(index)));
+    }
+    all.run(10s);
+    CHECK(all.readers().size() == 2);
+}
--- /dev/null
+++ b/packages/entry/include/catkintally/entry/news/news_exchange.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <catkintally/core/fleet/member.hpp>
+#include <catkintally/entry/news/peer_book.hpp>
+#include <catkintally/entry/peers/peer_network.hpp>
+#include <catkintally/entry/table/object_mirror.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkintally::entry
+{
+
+/// Fixed inputs of a news_exchange. Pointers must outlive it.
+struct news_exchange_options
+{
+    runtime::event_loop* loop = nullptr;
+    core::timer_service* timers = nullptr;
+    core::member self;
+    /// Address to listen on, usually the peer address of `self`.
+    std::string listen_address;
+    /// Shared key of all instances; empty turns authentication off.
+    std::string key;
+    /// Addresses of some instances, which may be out of date.
+    std::vector<std::string> seeds;
+    std::uint64_t seed = 0;
+    /// Takes an update that another instance passes on.
+    std::function<update_result(const object_update&)> offer;
+    /// Everything that is known under a prefix.
+    std::function<std::optional<object_update>(const std::string& prefix)> whole;
+    /// What is known, by prefix.
+    std::function<std::map<std::string, object_state>()> states;
+    /// A reader's word, with its age. Not called while news that the reader has are missing here.
+    std::function<void(const std::string& reader, bool reached, core::duration age)> heard_reader;
+};
+
+/// Passes news of the store between instances. Each instance has links to a few others, chosen at
+/// random; what is new to it goes on to all of them at once, so that news reach everyone in a few
+/// hops, at a cost for each instance that does not grow with their number. A gap is filled by the
+/// neighbour that showed it.
+class news_exchange
+{
+public:
+    explicit news_exchange(news_exchange_options options);
+    ~news_exchange();
+    news_exchange(const news_exchange&) = delete;
+    news_exchange& operator=(const news_exchange&) = delete;
+
+    /// Starts to listen and to dial. False if the address is not available.
+    [[nodiscard]] bool start();
+
+    /// Passes on changes that this instance has read from the store.
+    void tell_update(const object_update& update);
+
+    /// Passes on whether the store has answered this instance.
+    void tell_call(bool reached);
+
+    /// Estimated number of live instances, this one included.
+    [[nodiscard]] std::size_t instances() const { return book_.instances(); }
+
+    [[nodiscard]] const peer_counters& counters() const { return network_.counters(); }
+
+private:
+    struct reader_state
+    {
+        std::uint64_t sequence = 0;
+        core::time_point heard{};
+    };
+
+    void on_linked(const core::member_id& peer);
+    void receive(const core::member& from, const wire::payloadUnion& message);
+    void on_update(const core::member& from, const wire::news_update_data& message);
+    void on_pull(const core::member& from, const wire::news_pull_data& message);
+    void on_word(const core::member& from, const wire::reader_word_data& message);
+    void on_sample(const wire::peer_sample_data& message);
+    /// Asks for what is missing; true if nothing is.
+    bool pull_missing(
+        const core::member_id& from,
+        const std::vector<std::unique_ptr<wire::news_state_data>>& known);
+    void pull(const core::member_id& from, const std::string& prefix);
+    [[nodiscard]] wire::payloadUnion word(bool reached);
+    [[nodiscard]] wire::payloadUnion greeting();
+    void exchange_peers();
+
+    news_exchange_options options_;
+    peer_book book_;
+    peer_network network_;
+    std::uint64_t sequence_ = 0;
+    /// Newest word of each reader that was passed on.
+    std::map<std::string, reader_state> readers_;
+    /// When everything under a prefix was asked for last.
+    std::map<std::string, core::time_point> pulled_;
+    std::vector<std::string> neighbours_;
+    core::timer_id exchange_timer_ = 0;
+};
+
+} // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/peers/peer_network.hpp
+++ b/packages/entry/include/catkintally/entry/peers/peer_network.hpp
@@ -54,6 +54,9 @@
     /// Sends a message; it is lost if there is no link to the member.
     void send(const core::member_id& to, const wire::payloadUnion& message);
 
+    /// Sends a message once to each member with a link, but for `except`.
+    void send_to_all(const wire::payloadUnion& message, const core::member_id& except);
+
     /// Dials exactly the members of this view and the seeds.
     void set_members(const core::view& current);
 
@@ -65,6 +68,9 @@
     /// Ids of the members with a link that is up.
     [[nodiscard]] std::vector<core::member_id> linked_members() const;
 
+    /// Peer addresses of the members with a link that is up.
+    [[nodiscard]] std::vector<std::string> linked_addresses() const;
+
 private:
     using link_number = std::uint64_t;
     struct dial_state
--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <catkintally/core/admission/probing_gateway.hpp>
+#include <catkintally/core/news/reader_duty.hpp>
 #include <catkintally/entry/instance.hpp>
+#include <catkintally/entry/news/news_exchange.hpp>
 #include <catkintally/entry/process/target_prober.hpp>
 #include <catkintally/entry/table/configuration_follower.hpp>
 #include <catkintally/entry/table/table_watcher.hpp>
@@ -16,7 +18,8 @@
 
 /// One whole entry instance that decides alone: it asks targets for their load before each request
 /// and needs no other instance. Its table comes from the project's own rows or from the objects of
-/// the hosting platform.
+/// the hosting platform; news of the latter are also passed between instances, so that only a few
+/// of them read the store.
 class probing_process
 {
 public:
@@ -34,9 +37,12 @@
 private:
     [[nodiscard]] core::probing_gateway_options gateway_options();
     [[nodiscard]] instance_hooks hooks();
+    void make_follower();
+    void make_news();
     void use_table(const std::shared_ptr<const core::table_snapshot>& table);
     void add_metrics();
 
+    runtime::event_loop& loop_;
     core::timer_service& timers_;
     const runtime::settings settings_;
     core::target_dialect dialect_;
@@ -51,6 +57,9 @@
     /// One of the two follows the store, by platform.configuration.
     std::unique_ptr<configuration_follower> follower_;
     std::unique_ptr<table_watcher> watcher_;
+    /// With the follower only.
+    std::unique_ptr<core::reader_duty> duty_;
+    std::unique_ptr<news_exchange> news_;
     bool has_table_ = false;
 };
 
--- a/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
+++ b/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
@@ -6,10 +6,13 @@
 #include <catkintally/entry/table/object_mirror.hpp>
 #include <catkintally/entry/table/target_registry.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace catkintally::entry
@@ -32,11 +35,16 @@
         .seed = std::random_device{}()};
     /// Receives each table that comes into force.
     std::function<void(std::shared_ptr<const core::table_snapshot>)> publish;
+    /// Told of changes that the store has sent, for other instances; may be empty.
+    std::function<void(const object_update&)> updated{};
+    /// Told whether a call to the store was answered; may be empty.
+    std::function<void(bool reached)> called{};
 };
 
 /// Follows the configuration, the targets and the evacuated failure domains that the hosting
-/// platform keeps as objects, and publishes tables made of them. The last good configuration stays
-/// in force while the store is away.
+/// platform keeps as objects, and publishes tables made of them. It reads them from the store, or
+/// takes what other instances pass on. The last good configuration stays in force while there is no
+/// news.
 class configuration_follower
 {
 public:
@@ -45,18 +53,31 @@
     configuration_follower(const configuration_follower&) = delete;
     configuration_follower& operator=(const configuration_follower&) = delete;
 
-    /// Begins to follow the store.
-    void start();
+    /// Begins or ends to read the store.
+    void set_reading(bool reading);
+
+    /// Takes an update that another instance passes on.
+    update_result offer(const object_update& update);
+
+    /// Everything that is known under a prefix, to be passed on; nothing if that is nothing.
+    [[nodiscard]] std::optional<object_update> whole(const std::string& prefix) const;
+
+    /// What is known, by prefix.
+    [[nodiscard]] std::map<std::string, object_state> states() const;
+
+    /// News come again after there were none for a while, in which entries may have lapsed.
+    void note_regained();
 
     /// Version of the configuration in force; nothing until the first table is published.
     [[nodiscard]] std::optional<std::uint64_t> version() const;
 
     /// True while the store answers.
-    [[nodiscard]] bool is_in_contact() const { return !lost_since_; }
+    [[nodiscard]] bool is_in_contact() const { return reading_ && !lost_since_; }
 
 private:
     [[nodiscard]] object_mirror_options
     mirror_options(core::object_store* store, std::string_view prefix, std::size_t index);
+    [[nodiscard]] object_mirror* find(const std::string& prefix) const;
     void on_heard(std::size_t index);
     void on_lost(std::size_t index);
     void retry();
@@ -82,6 +103,7 @@
     core::timer_id retry_timer_ = 0;
     core::timer_id update_timer_ = 0;
     bool published_ = false;
+    bool reading_ = false;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/src/http/http_path.cpp
+++ b/packages/entry/src/http/http_path.cpp
@@ -218,6 +218,13 @@
 void http_path::refuse_unready(caller_call& call)
 {
     // Without a table nobody knows whether the request has a service.
+    const std::string* given =
+        find_field(call.request().fields, options_.dialect.request_id_header);
+    log_event(
+        runtime::event_id::request_refused, {{"request", given == nullptr ? "" : *given},
+                                             {"reason", "not_ready"},
+                                             {"host", call.request().host},
+                                             {"path", call.request().path}});
     call.reply(make_reply(
         {.status = 503,
          .claim = core::run_claim::not_run,
--- /dev/null
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -0,0 +1,322 @@
+#include <catkintally/entry/news/news_exchange.hpp>
+#include <catkintally/runtime/log/event_log.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <memory>
+#include <utility>
+
+namespace catkintally::entry
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Pause between two looks at the neighbours.
+constexpr auto exchange_interval = std::chrono::seconds(2);
+
+/// Until the first exchange: time for the first links to come up.
+constexpr auto first_exchange = milliseconds(500);
+
+/// Addresses in one sample.
+constexpr std::size_t sample_size = 16;
+
+/// An answer to a pull is awaited this long before another neighbour is asked.
+constexpr auto pull_patience = milliseconds(200);
+
+/// Words of readers that were silent for this long are forgotten.
+constexpr auto reader_memory = std::chrono::seconds(30);
+
+std::uint32_t milliseconds_of(core::duration time)
+{
+    const auto whole = std::chrono::duration_cast<milliseconds>(time).count();
+    return static_cast<std::uint32_t>(std::max<milliseconds::rep>(whole, 0));
+}
+
+wire::payloadUnion message_of(const object_update& update)
+{
+    wire::news_update_data data;
+    data.prefix = update.prefix;
+    data.digest = update.digest;
+    data.version = update.version;
+    data.whole = update.whole;
+    for (const core::store_object& object : update.objects)
+    {
+        auto copy = std::make_unique<wire::news_object_data>();
+        copy->key = object.key;
+        copy->version = object.version;
+        copy->value = object.value;
+        copy->status = object.status;
+        copy->deleted = object.deleted;
+        data.objects.push_back(std::move(copy));
+    }
+    wire::payloadUnion message;
+    message.Set(std::move(data));
+    return message;
+}
+
+object_update update_of(const wire::news_update_data& data)
+{
+    object_update update;
+    update.prefix = data.prefix;
+    update.digest = data.digest;
+    update.version = data.version;
+    update.whole = data.whole;
+    for (const auto& object : data.objects)
+    {
+        update.objects.push_back(
+            {.key = object->key,
+             .version = object->version,
+             .value = object->value,
+             .deleted = object->deleted,
+             .status = object->status});
+    }
+    return update;
+}
+
+} // namespace
+
+news_exchange::news_exchange(news_exchange_options options)
+    : options_(std::move(options))
+    , book_(options_.self.peer_address, options_.self.failure_domain, options_.seeds, options_.seed)
+    , network_(
+          {.loop = options_.loop,
+           .timers = options_.timers,
+           .self = options_.self,
+           .listen_address = options_.listen_address,
+           .key = options_.key,
+           .seeds = {},
+           .seed = options_.seed,
+           .receive = [this](const core::member& from, const wire::payloadUnion& message)
+           { receive(from, message); },
+           .linked = [this](const core::member_id& peer) { on_linked(peer); }})
+{
+    assert(options_.offer && options_.whole && options_.states && options_.heard_reader);
+}
+
+news_exchange::~news_exchange()
+{
+    options_.timers->cancel(exchange_timer_);
+}
+
+bool news_exchange::start()
+{
+    if (!network_.start())
+    {
+        return false;
+    }
+    exchange_peers();
+    return true;
+}
+
+void news_exchange::exchange_peers()
+{
+    const auto now = options_.timers->now();
+    book_.forget_old(now);
+
+    // Linked neighbours are kept; others take the places of those that are gone.
+    const auto linked = network_.linked_addresses();
+    std::erase_if(
+        neighbours_, [&](const std::string& address)
+        { return std::find(linked.begin(), linked.end(), address) == linked.end(); });
+    neighbours_ = book_.choose(neighbours_);
+    core::view dialed;
+    for (const std::string& address : neighbours_)
+    {
+        core::member neighbour;
+        neighbour.peer_address = address;
+        dialed.members.push_back(std::move(neighbour));
+    }
+    network_.set_members(dialed);
+
+    wire::peer_sample_data sample;
+    for (const live_peer& each : book_.sample(sample_size))
+    {
+        auto peer = std::make_unique<wire::live_peer_data>();
+        peer->address = each.address;
+        peer->failure_domain = each.failure_domain;
+        peer->age_ms = milliseconds_of(now - each.alive_at);
+        sample.peers.push_back(std::move(peer));
+    }
+    wire::payloadUnion message;
+    message.Set(std::move(sample));
+    network_.send_to_all(message, {});
+    std::erase_if(
+        readers_, [now](const auto& each) { return now - each.second.heard > reader_memory; });
+
+    const bool first = exchange_timer_ == 0;
+    exchange_timer_ = options_.timers->schedule_after(
+        first ? core::duration(first_exchange) : core::duration(exchange_interval),
+        [this] { exchange_peers(); });
+}
+
+void news_exchange::tell_update(const object_update& update)
+{
+    if (!update.whole)
+    {
+        network_.send_to_all(message_of(update), {});
+        return;
+    }
+    // Whoever knows nothing yet asks for everything.
+    network_.send_to_all(greeting(), {});
+}
+
+wire::payloadUnion news_exchange::word(bool reached)
+{
+    wire::reader_word_data data;
+    data.reader = core::to_text(options_.self.id);
+    data.sequence = ++sequence_;
+    data.reached = reached;
+    for (const auto& [prefix, state] : options_.states())
+    {
+        auto known = std::make_unique<wire::news_state_data>();
+        known->prefix = prefix;
+        known->version = state.version;
+        known->digest = state.digest;
+        data.known.push_back(std::move(known));
+    }
+    wire::payloadUnion message;
+    message.Set(std::move(data));
+    return message;
+}
+
+void news_exchange::tell_call(bool reached)
+{
+    network_.send_to_all(word(reached), {});
+}
+
+wire::payloadUnion news_exchange::greeting()
+{
+    // Says what is known here, without a claim about the store.
+    wire::payloadUnion message = word(false);
+    message.Asreader_word()->reader.clear();
+    return message;
+}
+
+void news_exchange::on_linked(const core::member_id& peer)
+{
+    network_.send(peer, greeting());
+}
+
+void news_exchange::receive(const core::member& from, const wire::payloadUnion& message)
+{
+    book_.note_alive(
+        {.address = from.peer_address,
+         .failure_domain = from.failure_domain,
+         .alive_at = options_.timers->now()});
+    switch (message.type)
+    {
+    case wire::payload::news_update:
+        on_update(from, *message.Asnews_update());
+        break;
+    case wire::payload::news_pull:
+        on_pull(from, *message.Asnews_pull());
+        break;
+    case wire::payload::reader_word:
+        on_word(from, *message.Asreader_word());
+        break;
+    case wire::payload::peer_sample:
+        on_sample(*message.Aspeer_sample());
+        break;
+    default:
+        // Instances of another admission mode speak of other things.
+        break;
+    }
+}
+
+void news_exchange::on_update(const core::member& from, const wire::news_update_data& message)
+{
+    const object_update update = update_of(message);
+    switch (options_.offer(update))
+    {
+    case update_result::applied:
+        network_.send_to_all(update.whole ? greeting() : message_of(update), from.id);
+        break;
+    case update_result::gap:
+        pull(from.id, update.prefix);
+        break;
+    case update_result::not_newer:
+        break;
+    }
+}
+
+void news_exchange::pull(const core::member_id& from, const std::string& prefix)
+{
+    const auto now = options_.timers->now();
+    const auto last = pulled_.find(prefix);
+    if (last != pulled_.end() && now - last->second < pull_patience)
+    {
+        return;
+    }
+    pulled_[prefix] = now;
+    runtime::log_event(
+        runtime::event_id::news_gap, {{"kind", prefix}, {"asked", core::to_text(from)}});
+    wire::news_pull_data data;
+    data.prefix = prefix;
+    wire::payloadUnion message;
+    message.Set(std::move(data));
+    network_.send(from, message);
+}
+
+void news_exchange::on_pull(const core::member& from, const wire::news_pull_data& message)
+{
+    if (const auto known = options_.whole(message.prefix))
+    {
+        network_.send(from.id, message_of(*known));
+    }
+}
+
+bool news_exchange::pull_missing(
+    const core::member_id& from, const std::vector<std::unique_ptr<wire::news_state_data>>& known)
+{
+    const auto own = options_.states();
+    bool complete = true;
+    for (const auto& each : known)
+    {
+        const auto found = own.find(each->prefix);
+        const bool same = found != own.end() && found->second.digest == each->digest;
+        if (!same && (found == own.end() || found->second.version <= each->version))
+        {
+            complete = false;
+            pull(from, each->prefix);
+        }
+    }
+    return complete;
+}
+
+void news_exchange::on_word(const core::member& from, const wire::reader_word_data& message)
+{
+    const bool complete = pull_missing(from.id, message.known);
+    const std::string& name = message.reader;
+    if (name.empty() || name == core::to_text(options_.self.id))
+    {
+        return;
+    }
+    // A word is taken and passed on once, by instances that know what its reader knows.
+    const auto known = readers_.find(name);
+    if (!complete || (known != readers_.end() && known->second.sequence >= message.sequence))
+    {
+        return;
+    }
+    readers_[name] = {.sequence = message.sequence, .heard = options_.timers->now()};
+    wire::payloadUnion copy;
+    copy.Set(wire::reader_word_data(message));
+    network_.send_to_all(copy, from.id);
+    options_.heard_reader(name, message.reached, milliseconds(message.age_ms));
+}
+
+void news_exchange::on_sample(const wire::peer_sample_data& message)
+{
+    const auto now = options_.timers->now();
+    for (const auto& peer : message.peers)
+    {
+        book_.note_alive(
+            {.address = peer->address,
+             .failure_domain = peer->failure_domain,
+             .alive_at = now - milliseconds(peer->age_ms)});
+    }
+}
+
+} // namespace catkintally::entry
--- a/packages/entry/src/peers/peer_network.cpp
+++ b/packages/entry/src/peers/peer_network.cpp
@@ -329,6 +329,24 @@
     link->send(*frame);
 }
 
+void peer_network::send_to_all(const wire::payloadUnion& message, const core::member_id& except)
+{
+    const auto frame = wire::encode_frame(message);
+    if (!frame)
+    {
+        ++counters_.messages_unsent;
+        return;
+    }
+    for (const core::member_id& each : linked_members())
+    {
+        peer_link* link = each == except ? nullptr : find_link(each);
+        if (link != nullptr)
+        {
+            link->send(*frame);
+        }
+    }
+}
+
 std::vector<core::member_id> peer_network::linked_members() const
 {
     std::set<core::member_id> ids;
@@ -342,4 +360,17 @@
     return {ids.begin(), ids.end()};
 }
 
+std::vector<std::string> peer_network::linked_addresses() const
+{
+    std::set<std::string> addresses;
+    for (const auto& [number, link] : links_)
+    {
+        if (link->is_up())
+        {
+            addresses.insert(link->peer().peer_address);
+        }
+    }
+    return {addresses.begin(), addresses.end()};
+}
+
 } // namespace catkintally::entry
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -82,7 +82,8 @@
 
 probing_process::probing_process(
     runtime::event_loop& loop, core::timer_service& timers, const runtime::settings& values)
-    : timers_(timers)
+    : loop_(loop)
+    , timers_(timers)
     , settings_(values)
     , dialect_(dialect_of(values))
     , api_(loop, timers, api_options(values.platform))
@@ -95,25 +96,67 @@
     , gateway_(gateway_options())
     , instance_(loop, timers, values, hooks())
 {
-    const auto publish = [this](const auto& table) { use_table(table); };
     if (values.platform.configuration == runtime::platform_configuration::objects)
     {
-        const auto limits = platform::decode_limits(values.platform.limits);
-        follower_ = std::make_unique<configuration_follower>(configuration_follower_options{
-            .store = &store_,
-            .quiet_store = &quiet_store_,
-            .timers = &timers,
-            .retry_budget_percent = limits.retry_percent,
-            .publish = publish});
+        make_follower();
+        make_news();
     }
     else
     {
-        watcher_ = std::make_unique<table_watcher>(
-            table_watcher_options{.store = &store_, .timers = &timers, .publish = publish});
+        watcher_ = std::make_unique<table_watcher>(table_watcher_options{
+            .store = &store_, .timers = &timers, .publish = [this](const auto& table) {
+                use_table(table);
+            }});
     }
     add_metrics();
 }
 
+void probing_process::make_follower()
+{
+    const auto limits = platform::decode_limits(settings_.platform.limits);
+    follower_ = std::make_unique<configuration_follower>(configuration_follower_options{
+        .store = &store_,
+        .quiet_store = &quiet_store_,
+        .timers = &timers_,
+        .retry_budget_percent = limits.retry_percent,
+        .publish = [this](const auto& table) { use_table(table); },
+        .updated = [this](const object_update& update) { news_->tell_update(update); },
+        .called =
+            [this](bool reached)
+        {
+            news_->tell_call(reached);
+            duty_->own_call(reached);
+        }});
+}
+
+void probing_process::make_news()
+{
+    core::member self;
+    self.id = {.instance = settings_.instance.id, .incarnation = random_number()};
+    self.failure_domain = settings_.instance.failure_domain;
+    self.peer_address = settings_.peers.address;
+    duty_ = std::make_unique<core::reader_duty>(core::reader_duty_options{
+        .timers = &timers_,
+        .self = core::to_text(self.id),
+        .seed = random_number(),
+        .instances = [this] { return news_->instances(); },
+        .read = [this](bool reading) { follower_->set_reading(reading); },
+        .fresh_again = [this] { follower_->note_regained(); }});
+    news_ = std::make_unique<news_exchange>(news_exchange_options{
+        .loop = &loop_,
+        .timers = &timers_,
+        .self = self,
+        .listen_address = settings_.peers.address,
+        .key = settings_.peers.shared_key,
+        .seeds = settings_.peers.seeds,
+        .seed = random_number(),
+        .offer = [this](const object_update& update) { return follower_->offer(update); },
+        .whole = [this](const std::string& prefix) { return follower_->whole(prefix); },
+        .states = [this] { return follower_->states(); },
+        .heard_reader = [this](const std::string& reader, bool reached, core::duration age)
+        { duty_->heard_reader(reader, reached, age); }});
+}
+
 core::probing_gateway_options probing_process::gateway_options()
 {
     core::probing_gateway_options options;
@@ -154,14 +197,17 @@
     {
         return false;
     }
-    if (follower_)
+    if (!follower_)
     {
-        follower_->start();
+        watcher_->start();
+        return true;
     }
-    else
+    if (!news_->start())
     {
-        watcher_->start();
+        log_event(event_id::listen_failed, {{"address", settings_.peers.address}});
+        return false;
     }
+    duty_->start();
     return true;
 }
 
@@ -192,6 +238,22 @@
     metrics.gauge(
         "catkintally_store_in_contact", {},
         [this] { return !follower_ || follower_->is_in_contact() ? 1.0 : 0.0; });
+    if (news_)
+    {
+        metrics.gauge(
+            "catkintally_news_fresh", {}, [this] { return duty_->is_fresh() ? 1.0 : 0.0; });
+        metrics.gauge(
+            "catkintally_store_reading", {}, [this] { return duty_->is_reading() ? 1.0 : 0.0; });
+        metrics.gauge(
+            "catkintally_instances_known", {},
+            [this] { return static_cast<double>(news_->instances()); });
+        metrics.gauge(
+            "catkintally_control_bytes_sent", {},
+            [this] { return static_cast<double>(news_->counters().bytes_sent); });
+        metrics.gauge(
+            "catkintally_control_bytes_received", {},
+            [this] { return static_cast<double>(news_->counters().bytes_received); });
+    }
 }
 
 } // namespace catkintally::entry
--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -94,16 +94,75 @@
         .timers = options_.timers,
         .prefix = std::string(prefix),
         .changed = [this] { on_changed(); },
+        .updated =
+            [this](const object_update& update)
+        {
+            if (options_.updated)
+            {
+                options_.updated(update);
+            }
+        },
         .heard = [this, index] { on_heard(index); },
         .lost = [this, index] { on_lost(index); }};
 }
 
-void configuration_follower::start()
+void configuration_follower::set_reading(bool reading)
+{
+    reading_ = reading;
+    lost_since_.reset();
+    std::fill(failed_.begin(), failed_.end(), false);
+    options_.timers->cancel(std::exchange(retry_timer_, 0));
+    log_event(event_id::store_reading, {{"reading", reading ? "yes" : "no"}});
+    for (const auto& mirror : mirrors_)
+    {
+        if (reading)
+        {
+            mirror->resume();
+        }
+        else
+        {
+            mirror->halt();
+        }
+    }
+}
+
+object_mirror* configuration_follower::find(const std::string& prefix) const
+{
+    const auto found = std::find_if(
+        mirrors_.begin(), mirrors_.end(),
+        [&](const auto& each) { return each->prefix() == prefix; });
+    return found == mirrors_.end() ? nullptr : found->get();
+}
+
+update_result configuration_follower::offer(const object_update& update)
+{
+    object_mirror* mirror = find(update.prefix);
+    return mirror == nullptr ? update_result::not_newer : mirror->offer(update);
+}
+
+std::optional<object_update> configuration_follower::whole(const std::string& prefix) const
+{
+    const object_mirror* mirror = find(prefix);
+    return mirror == nullptr || !mirror->is_listed() ? std::nullopt
+                                                     : std::optional(mirror->whole());
+}
+
+std::map<std::string, object_state> configuration_follower::states() const
 {
+    std::map<std::string, object_state> known;
     for (const auto& mirror : mirrors_)
     {
-        mirror->resume();
+        if (mirror->is_listed())
+        {
+            known.emplace(mirror->prefix(), mirror->state());
+        }
     }
+    return known;
+}
+
+void configuration_follower::note_regained()
+{
+    trusted_from_ = options_.timers->now() + lapse_recovery;
 }
 
 std::optional<std::uint64_t> configuration_follower::version() const
@@ -115,6 +174,11 @@
 {
     failed_[index] = false;
     back_off_.reset();
+    // Only the watch of targets ends often enough to show that the store is there.
+    if (options_.called && (index == target_mirror || lost_since_))
+    {
+        options_.called(true);
+    }
     if (!lost_since_)
     {
         return;
@@ -122,7 +186,7 @@
     // The store is back. Calls that still wait may wait on a connection that died meanwhile.
     const auto now = options_.timers->now();
     const auto away = now - *std::exchange(lost_since_, std::nullopt);
-    trusted_from_ = now + lapse_recovery;
+    note_regained();
     log_event(
         event_id::configuration_regained,
         {{"kind", mirrors_[index]->prefix()},
@@ -150,6 +214,14 @@
             {{"kind", mirrors_[index]->prefix()},
              {"known_version", std::to_string(mirrors_[index]->version())}});
     }
+    if (options_.called)
+    {
+        options_.called(false);
+    }
+    if (!reading_)
+    {
+        return;
+    }
     // One mirror asks until the store answers; the others wait for it, because each call counts.
     if (retry_timer_ == 0)
     {
--- a/packages/entry/src/table/object_mirror.cpp
+++ b/packages/entry/src/table/object_mirror.cpp
@@ -1,7 +1,10 @@
+#include <catkintally/core/admission/split_mix.hpp>
 #include <catkintally/entry/table/object_mirror.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 
+#include <algorithm>
 #include <cassert>
+#include <functional>
 #include <utility>
 
 namespace catkintally::entry
@@ -34,7 +37,7 @@
     : options_(std::move(options))
 {
     assert(options_.store != nullptr && options_.timers != nullptr);
-    assert(options_.changed && options_.heard && options_.lost);
+    assert(options_.changed && options_.updated && options_.heard && options_.lost);
 }
 
 object_mirror::~object_mirror()
@@ -56,7 +59,7 @@
                              call_,
                              [this](const store_list_result& answer)
                              {
-                                 if (answer.status != store_status::ok || answer.version < version_)
+                                 if (answer.status != store_status::ok || answer.version < watched_)
                                  {
                                      options_.lost();
                                      return;
@@ -70,7 +73,7 @@
 void object_mirror::watch()
 {
     options_.store->watch(
-        options_.prefix, version_,
+        options_.prefix, watched_,
         if_current(
             call_,
             [this](const store_list_result& answer)
@@ -80,20 +83,19 @@
                     // The store's history does not reach back to the version that is known.
                     runtime::log_event(
                         runtime::event_id::table_watch_gap,
-                        {{"kind", options_.prefix}, {"from", std::to_string(version_)}});
+                        {{"kind", options_.prefix}, {"from", std::to_string(watched_)}});
                     options_.heard();
                     list();
                     return;
                 }
-                if (answer.status != store_status::ok || answer.version < version_)
+                if (answer.status != store_status::ok || answer.version < watched_)
                 {
                     options_.lost();
                     return;
                 }
                 options_.heard();
-                const std::uint64_t before = version_;
                 take_events(answer);
-                if (version_ == before)
+                if (answer.objects.empty())
                 {
                     watch();
                 }
@@ -115,43 +117,149 @@
         });
 }
 
+void object_mirror::halt()
+{
+    options_.timers->cancel(std::exchange(pause_timer_, 0));
+    ++*call_;
+}
+
 void object_mirror::take_list(const store_list_result& answer)
 {
-    std::map<std::string, core::store_object> listed;
+    watched_ = answer.version;
+    if (!is_listed())
+    {
+        for (const core::store_object& object : answer.objects)
+        {
+            objects_.emplace(object.key, object);
+        }
+        version_ = answer.version;
+        options_.updated(whole());
+        options_.changed();
+        return;
+    }
+
+    // What differs from the objects that are known, in the form of events.
+    object_update update{.prefix = options_.prefix, .version = answer.version, .objects = {}};
+    std::map<std::string, const core::store_object*> listed;
     for (const core::store_object& object : answer.objects)
     {
-        listed.emplace(object.key, object);
+        listed.emplace(object.key, &object);
+        const auto known = objects_.find(object.key);
+        if (known == objects_.end() || known->second.version < object.version)
+        {
+            update.objects.push_back(object);
+        }
+    }
+    for (const auto& [key, object] : objects_)
+    {
+        if (!listed.contains(key) && object.version <= answer.version)
+        {
+            update.objects.push_back(
+                {.key = key, .version = answer.version, .value = {}, .deleted = true});
+        }
+    }
+    if (apply(update.objects))
+    {
+        version_ = std::max(version_, answer.version);
+        update.digest = digest();
+        options_.updated(update);
+        options_.changed();
     }
-    objects_ = std::move(listed);
-    version_ = answer.version;
-    listed_ = true;
-    options_.changed();
 }
 
 void object_mirror::take_events(const store_list_result& answer)
+{
+    object_update update{
+        .prefix = options_.prefix, .version = answer.version, .objects = answer.objects};
+    watched_ = answer.version;
+    if (!answer.objects.empty() && apply(answer.objects))
+    {
+        version_ = std::max(version_, answer.version);
+        update.digest = digest();
+        options_.updated(update);
+        options_.changed();
+    }
+}
+
+std::uint64_t object_mirror::digest() const
+{
+    // Independent of the order in which changes arrived.
+    std::uint64_t sum = 0;
+    for (const auto& [key, object] : objects_)
+    {
+        sum += core::split_mix(std::hash<std::string>()(key) + object.version).next();
+    }
+    return sum;
+}
+
+bool object_mirror::apply(const std::vector<core::store_object>& changes)
 {
     bool any = false;
-    for (const core::store_object& event : answer.objects)
+    for (const core::store_object& change : changes)
     {
-        if (event.version <= version_)
+        const auto known = objects_.find(change.key);
+        if (known != objects_.end() && known->second.version >= change.version)
         {
             continue;
         }
-        any = true;
-        if (event.deleted)
+        if (!change.deleted)
         {
-            objects_.erase(event.key);
+            objects_[change.key] = change;
+            any = true;
         }
-        else
+        else if (known != objects_.end())
+        {
+            objects_.erase(known);
+            any = true;
+        }
+    }
+    return any;
+}
+
+update_result object_mirror::offer(const object_update& update)
+{
+    if (is_listed() && update.version <= version_)
+    {
+        return update_result::not_newer;
+    }
+    if (!is_listed() && !update.whole)
+    {
+        return update_result::gap;
+    }
+    if (update.whole)
+    {
+        objects_.clear();
+    }
+    const bool changed = apply(update.objects) || update.whole;
+    if (!update.whole && digest() != update.digest)
+    {
+        if (changed)
         {
-            objects_[event.key] = event;
+            options_.changed();
         }
+        return update_result::gap;
     }
-    version_ = answer.version;
-    if (any)
+    version_ = update.version;
+    if (changed)
     {
         options_.changed();
     }
+    return update_result::applied;
+}
+
+object_update object_mirror::whole() const
+{
+    object_update update{
+        .prefix = options_.prefix,
+        .version = version_,
+        .digest = digest(),
+        .whole = true,
+        .objects = {}};
+    for (const auto& [key, object] : objects_)
+    {
+        update.objects.push_back(object);
+    }
+    return update;
 }
 
 } // namespace catkintally::entry
--- a/packages/entry/tests/table/configuration_follower_test.cpp
+++ b/packages/entry/tests/table/configuration_follower_test.cpp
@@ -71,7 +71,7 @@
 TEST_CASE("changes of each kind come into force")
 {
     follower_fixture fixture;
-    fixture.follower.start();
+    fixture.follower.set_reading(true);
     REQUIRE(fixture.reach([] { return true; }));
     CHECK(fixture.follower.version() == 1);
     REQUIRE(fixture.table->services.at("desk").targets.size() == 1);
@@ -101,7 +101,7 @@
     const std::string bad = GENERATE(as<std::string>(), "{}", configuration(2, "/old/"));
     follower_fixture fixture;
     fixture.put("config/main", configuration(3, "/three/"));
-    fixture.follower.start();
+    fixture.follower.set_reading(true);
     REQUIRE(fixture.reach([&] { return fixture.follower.version() == 3; }));
     fixture.put("config/main", bad);
     fixture.put("evacuations/d1", "{}");
@@ -119,7 +119,7 @@
     const std::string fault = GENERATE(as<std::string>(), "outage", "silent", "forget_history");
     INFO(fault);
     follower_fixture fixture;
-    fixture.follower.start();
+    fixture.follower.set_reading(true);
     REQUIRE(fixture.reach([] { return true; }));
 
     fixture.stand_in.control({{fault, true}});
@@ -151,7 +151,7 @@
 TEST_CASE("one call at a time is made while the store is away")
 {
     follower_fixture fixture;
-    fixture.follower.start();
+    fixture.follower.set_reading(true);
     REQUIRE(fixture.reach([] { return true; }));
     fixture.stand_in.control({{"outage", true}});
     REQUIRE(fixture.reach([&] { return !fixture.follower.is_in_contact(); }));
