--- a/packages/core/include/catkintally/core/news/reader_duty.hpp
+++ b/packages/core/include/catkintally/core/news/reader_duty.hpp
@@ -23,9 +23,9 @@
     std::uint64_t seed = 0;
     /// Instances that read the store while all is well. Two, so that the loss of one leaves no gap.
     std::size_t wanted_readers = 2;
-    /// Without a reader's word for this long, the news may be old. Readers give word every 0.7 s,
-    /// so one word may be missed; and the rest of the two seconds in which a change must be in
-    /// force is for reading the store.
+    /// Without a reader's word for this long, the news may be old. Readers give word every second,
+    /// and two of them rarely at the same time; the rest of the two seconds in which a change must
+    /// be in force is for reading the store.
     duration stale_after = std::chrono::milliseconds(1500);
     /// Instances that miss the news turn to the store at random within this span, so that the first
     /// of them can tell the others.
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -139,6 +139,7 @@
         .timers = &timers_,
         .self = core::to_text(self.id),
         .seed = random_number(),
+        .start_spread = milliseconds(settings_.peers.start_spread_ms),
         .instances = [this] { return news_->instances(); },
         .read = [this](bool reading) { follower_->set_reading(reading); },
         .fresh_again = [this] { follower_->note_regained(); }});
