Deal out cold requests and retries by the size of the fleet

Instances now draw by lot which of them use a cold target, so that the expected rate is what the target says it can carry, and the fleet's retry slack is divided by the number of instances. Both come from the peers that are known; until an instance has got to know them it assumes a large fleet.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -46,6 +46,15 @@
     std::vector<probed_target> asked;
 };
 
+/// Live instances as far as they are known.
+struct fleet_size
+{
+    /// In the own failure domain, this one included.
+    std::size_t near = 1;
+    /// In other failure domains.
+    std::size_t far = 0;
+};
+
 /// Fixed inputs of a probing_gateway.
 struct probing_gateway_options
 {
@@ -58,10 +67,14 @@
     std::size_t targets_asked = 3;
     /// How long answers are awaited.
     duration answer_time = std::chrono::milliseconds(20);
-    /// Retries of one service that may be saved up.
-    std::uint32_t retry_burst = 3;
+    /// Identity of this instance; shares of what the whole fleet may do follow from it.
+    std::string self{};
+    /// Retries of one service that all instances together may save up.
+    double retry_slack = 40;
     /// Pause between two requests to the same cold target.
-    duration cold_interval = std::chrono::milliseconds(700);
+    duration cold_interval = std::chrono::seconds(1);
+    /// Size of the fleet; empty: this instance is alone.
+    std::function<fleet_size()> fleet{};
     /// Sends one health check; answers exactly once, never inline.
     std::function<void(const service_config&, const target_row&, std::function<void(probe_report)>)>
         probe{};
@@ -146,6 +159,9 @@
     [[nodiscard]] const target_row* row(const target_key& key) const;
     target_state& state(const target_key& key) { return targets_[key]; }
     [[nodiscard]] duration refusal_wait();
+    [[nodiscard]] bool may_use(const service_config& config, const target_row& target) const;
+    [[nodiscard]] bool is_chosen_for_cold(const service_config& config, const target_row&) const;
+    [[nodiscard]] fleet_size fleet() const;
 
     probing_gateway_options options_;
     std::shared_ptr<const table_snapshot> table_ = std::make_shared<const table_snapshot>();
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
 #include <iterator>
 
 namespace catkintally::core
@@ -35,9 +36,16 @@
 /// Validity of a grant; longer than a connection takes to be made.
 constexpr duration validity = std::chrono::seconds(1);
 
-/// Instances of another failure domain use a cold target this many times less often, so that all
-/// instances together stay below what it can carry.
-constexpr int remote_cold_factor = 4;
+/// Requests a second that a cold target is taken to carry if its service does not say.
+constexpr double usual_warmup_rate = 4;
+
+/// Parts of that rate for the instances of the target's failure domain and for all others. Together
+/// they leave room for instances that are not known yet.
+constexpr double near_cold_part = 0.8;
+constexpr double far_cold_part = 0.3;
+
+/// Part of the fleet's retry allowance that is dealt out, for the same reason.
+constexpr double retry_part = 0.8;
 
 /// Refused callers come back spread over this span, so that they do not return as a wave.
 constexpr duration shortest_refusal = milliseconds(200);
@@ -90,7 +98,6 @@
     {
         retry_budget& budget = retries_[name];
         budget.set_percent(config.service.retry_budget_percent);
-        budget.set_cap(options_.retry_burst);
         for (const target_row& target : config.targets)
         {
             const target_key key(name, target.name);
@@ -123,7 +130,11 @@
 {
     const request_id id = request.id;
     assert(!grants_.contains(id) && !applications_.contains(id));
-    const bool allowed = !request.retry || retries_[request.service].take();
+    const fleet_size size = fleet();
+    retry_budget& budget = retries_[request.service];
+    budget.set_cap(std::max(
+        1.0, options_.retry_slack * retry_part / static_cast<double>(size.near + size.far)));
+    const bool allowed = !request.retry || budget.take();
     application& asking = applications_[id];
     asking.request = std::move(request);
     asking.answer = std::move(answer);
@@ -157,14 +168,12 @@
         {
             continue;
         }
-        const target_health& health = targets_.at({config->service.name, each.name}).health;
-        const bool local = each.failure_domain == options_.failure_domain;
-        if (!health.may_take(now, options_.cold_interval * (local ? 1 : remote_cold_factor)))
+        if (!may_use(*config, each))
         {
             continue;
         }
         all.push_back(&each);
-        if (!health.is_ejected(now))
+        if (!targets_.at({config->service.name, each.name}).health.is_ejected(now))
         {
             healthy.push_back(&each);
         }
@@ -304,7 +313,6 @@
 
 const probing_gateway::asked_target* probing_gateway::best_of(application& asking)
 {
-    const auto now = options_.timers->now();
     const asked_target* best = nullptr;
     for (asked_target& each : asking.asked)
     {
@@ -317,9 +325,7 @@
         {
             continue;
         }
-        const bool local = target->failure_domain == options_.failure_domain;
-        const duration interval = options_.cold_interval * (local ? 1 : remote_cold_factor);
-        if (!targets_.at(key).health.may_take(now, interval))
+        if (!may_use(*service(asking.request.service), *target))
         {
             continue;
         }
@@ -333,6 +339,36 @@
     return best;
 }
 
+fleet_size probing_gateway::fleet() const
+{
+    return options_.fleet ? options_.fleet() : fleet_size{};
+}
+
+bool probing_gateway::is_chosen_for_cold(
+    const service_config& config, const target_row& target) const
+{
+    const bool near = target.failure_domain == options_.failure_domain;
+    const fleet_size size = fleet();
+    const double rate = config.service.warmup_requests_per_s > 0
+                            ? config.service.warmup_requests_per_s
+                            : usual_warmup_rate;
+    // Each chosen instance sends one request an interval; so many are chosen that they use their
+    // part of the rate. The choice differs from target to target.
+    const double wanted = rate * (near ? near_cold_part : far_cold_part) *
+                          std::chrono::duration<double>(options_.cold_interval).count();
+    const auto others = static_cast<double>(std::max<std::size_t>(near ? size.near : size.far, 1));
+    split_mix lot(std::hash<std::string>()(options_.self + '/' + target.name));
+    return static_cast<double>(lot.next() >> 11U) * 0x1.0p-53 < wanted / others;
+}
+
+bool probing_gateway::may_use(const service_config& config, const target_row& target) const
+{
+    const target_health& health = targets_.at({config.service.name, target.name}).health;
+    const auto now = options_.timers->now();
+    return !health.is_cold(now) ||
+           (health.may_take(now, options_.cold_interval) && is_chosen_for_cold(config, target));
+}
+
 void probing_gateway::decide(request_id id)
 {
     application& asking = applications_.at(id);
--- a/packages/core/tests/admission/probing_gateway_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -292,7 +293,7 @@
 // the percentage of first sendings plus what may be saved up.
 TEST_CASE("retries are bounded by the requests that were sent")
 {
-    probing_fixture fixture(4, {.retry_burst = 3});
+    probing_fixture fixture(4, {.retry_slack = 3.75});
     request_id id = 0;
     int retries = 0;
     for (int request = 0; request < 100; ++request)
@@ -342,33 +343,68 @@
     CHECK(used.size() > 1);
 }
 
-// Guards against a cold target that gets more than it can carry, whether its coldness was
-// registered or only shows in its health check.
-TEST_CASE("a cold target of the own domain gets few requests, one elsewhere fewer")
+// Guards against cold targets that get more than they can carry from all instances together,
+// whether the coldness was registered or only shows in a health check, and against cold targets
+// that get nothing at all.
+TEST_CASE("all instances together send a cold target no more than it can carry")
 {
+    constexpr double rate = 4.3;
     const bool registered = GENERATE(true, false);
-    const bool here = GENERATE(true, false);
-    probing_fixture fixture(0, {.cold_interval = 1s});
-    target_row row;
-    row.name = "t0";
-    row.address = "10.0.0.1:1";
-    row.failure_domain = here ? "here" : "there";
-    row.warmup_left = registered ? duration(60s) : duration::zero();
-    fixture.table.services["desk"].targets = {row};
-    fixture.report("t0").warmup_left = 60s;
-    fixture.apply();
-    int granted = 0;
-    for (request_id id = 1; fixture.timers.now() < time_point() + 20s; ++id)
+    const std::size_t near = GENERATE(2, 5, 30, 100);
+    const std::size_t far = 3 * near;
+    std::vector<std::unique_ptr<probing_fixture>> instances;
+    for (std::size_t index = 0; index < near + far; ++index)
     {
-        if (fixture.decide(id).code == decision_code::granted)
+        probing_gateway_options options;
+        options.self = "i" + std::to_string(index);
+        options.fleet = [=] { return fleet_size{.near = near, .far = far}; };
+        instances.push_back(std::make_unique<probing_fixture>(0, options));
+        probing_fixture& each = *instances.back();
+        each.table.services["desk"].service.warmup_requests_per_s = rate;
+        for (int number = 0; number < 8; ++number)
         {
-            ++granted;
-            fixture.complete(id, completion_outcome::answered);
+            target_row row;
+            row.name = "t" + std::to_string(number);
+            row.address = "10.0.0.1:1";
+            row.failure_domain = index < near ? "here" : "there";
+            row.warmup_left = registered ? duration(60s) : duration::zero();
+            each.table.services["desk"].targets.push_back(row);
+            each.report(row.name).warmup_left = 60s;
+        }
+        each.apply();
+    }
+    // Every instance has far more requests than the targets can carry.
+    std::map<std::string, std::vector<time_point>> sent;
+    request_id id = 0;
+    for (int round = 0; round < 100; ++round)
+    {
+        ++id;
+        for (const auto& each : instances)
+        {
+            each->submit(id);
+            each->timers.advance(50ms);
+            const auto answer = each->answers.find(id);
+            if (answer != each->answers.end() && answer->second.code == decision_code::granted)
+            {
+                sent[answer->second.target].push_back(each->timers.now());
+                each->complete(id, completion_outcome::answered);
+            }
+        }
+    }
+    // The bound of the users: one and a half times the rate, and five, in any second.
+    std::size_t most = 0;
+    for (const auto& [target, times] : sent)
+    {
+        for (const time_point begin : times)
+        {
+            most = std::max<std::size_t>(
+                most, std::count_if(
+                          times.begin(), times.end(),
+                          [&](time_point each) { return each >= begin && each < begin + 1s; }));
         }
-        fixture.timers.advance(20ms);
     }
-    CHECK(granted >= (here ? 18 : 4));
-    CHECK(granted <= (here ? 21 : 6));
+    CHECK(most <= static_cast<std::size_t>(rate * 1.5 + 5));
+    CHECK(sent.size() >= 6);
 }
 
 // Guards against decisions that differ between two runs with the same seed, which could not be
--- a/packages/entry/include/catkintally/entry/news/news_exchange.hpp
+++ b/packages/entry/include/catkintally/entry/news/news_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkintally/core/admission/probing_gateway.hpp>
 #include <catkintally/core/fleet/member.hpp>
 #include <catkintally/entry/news/peer_book.hpp>
 #include <catkintally/entry/peers/peer_network.hpp>
@@ -62,6 +63,10 @@
     /// Estimated number of live instances, this one included.
     [[nodiscard]] std::size_t instances() const { return book_.instances(); }
 
+    /// Live instances by failure domain. Until others could make themselves known, more are assumed
+    /// than are known.
+    [[nodiscard]] core::fleet_size fleet() const;
+
     [[nodiscard]] const peer_counters& counters() const { return network_.counters(); }
 
 private:
@@ -96,6 +101,7 @@
     std::map<std::string, core::time_point> pulled_;
     std::vector<std::string> neighbours_;
     core::timer_id exchange_timer_ = 0;
+    core::time_point started_{};
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/news/peer_book.hpp
+++ b/packages/entry/include/catkintally/entry/news/peer_book.hpp
@@ -47,6 +47,9 @@
     /// Estimated number of live instances, this one included.
     [[nodiscard]] std::size_t instances() const { return alive_.size() + 1; }
 
+    /// As instances(), of the own failure domain.
+    [[nodiscard]] std::size_t near_instances() const;
+
 private:
     [[nodiscard]] std::vector<live_peer> shuffled();
 
--- a/packages/entry/src/news/news_exchange.cpp
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -29,6 +29,10 @@
 /// Words of readers that were silent for this long are forgotten.
 constexpr auto reader_memory = std::chrono::seconds(30);
 
+/// Time until most instances are known after a start, and the sizes assumed before.
+constexpr auto acquaintance_time = std::chrono::seconds(3);
+constexpr core::fleet_size unsure_size = {.near = 16, .far = 48};
+
 std::uint32_t milliseconds_of(core::duration time)
 {
     const auto whole = std::chrono::duration_cast<milliseconds>(time).count();
@@ -107,10 +111,24 @@
     {
         return false;
     }
+    started_ = options_.timers->now();
     exchange_peers();
     return true;
 }
 
+core::fleet_size news_exchange::fleet() const
+{
+    core::fleet_size known;
+    known.near = book_.near_instances();
+    known.far = book_.instances() - known.near;
+    if (options_.timers->now() - started_ < acquaintance_time)
+    {
+        known.near = std::max(known.near, unsure_size.near);
+        known.far = std::max(known.far, unsure_size.far);
+    }
+    return known;
+}
+
 void news_exchange::exchange_peers()
 {
     const auto now = options_.timers->now();
--- a/packages/entry/src/news/peer_book.cpp
+++ b/packages/entry/src/news/peer_book.cpp
@@ -110,6 +110,14 @@
     return chosen;
 }
 
+std::size_t peer_book::near_instances() const
+{
+    return 1 +
+           static_cast<std::size_t>(std::count_if(
+               alive_.begin(), alive_.end(),
+               [this](const auto& each) { return each.second.failure_domain == failure_domain_; }));
+}
+
 std::vector<live_peer> peer_book::sample(std::size_t count)
 {
     std::vector<live_peer> taken = shuffled();
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -166,7 +166,13 @@
     options.failure_domain = settings_.instance.failure_domain;
     options.targets_asked = settings_.probing.targets;
     options.answer_time = milliseconds(settings_.probing.answer_time_ms);
-    options.retry_burst = static_cast<std::uint32_t>(settings_.probing.retry_burst);
+    options.self = settings_.instance.id;
+    options.retry_slack = static_cast<double>(settings_.probing.retry_slack);
+    if (settings_.platform.configuration == runtime::platform_configuration::objects)
+    {
+        options.retry_slack = platform::decode_limits(settings_.platform.limits).retry_slack;
+        options.fleet = [this] { return news_->fleet(); };
+    }
     options.cold_interval = milliseconds(settings_.probing.cold_interval_ms);
     options.probe = [this](
                         const core::service_config& config, const core::target_row& target,
