--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -12,6 +12,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace catkintally::entry
 {
@@ -31,6 +33,9 @@
     /// not free.
     [[nodiscard]] bool start();
 
+    /// Uses settings that can change while the process runs; returns the names of those.
+    std::vector<std::string> reload(const runtime::settings& values);
+
     /// Planned stop; `stopped` is called when the process may exit.
     void stop(std::function<void()> stopped);
 
--- a/packages/entry/programs/catkintally.cpp
+++ b/packages/entry/programs/catkintally.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/entry/process/instance_process.hpp>
 #include <catkintally/entry/process/probing_process.hpp>
+#include <catkintally/entry/process/settings_reload.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 #include <catkintally/runtime/settings/settings_loader.hpp>
 #include <catkintally/runtime/time/libevent_timer_service.hpp>
@@ -11,6 +12,8 @@
 #include <iostream>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <sys/resource.h>
 
@@ -51,14 +54,17 @@
     }
 }
 
-/// Runs a process until SIGTERM or SIGINT.
+/// Runs a process until SIGTERM or SIGINT. SIGHUP makes it read its settings again.
 template <class Process>
-int run_until_stopped(runtime::event_loop& loop, Process& self)
+int run_until_stopped(
+    runtime::event_loop& loop, Process& self, entry::settings_reload_options settings)
 {
     if (!self.start())
     {
         return 1;
     }
+    entry::settings_reload reload(std::move(settings));
+    loop.on_signal(SIGHUP, [&] { reload.reload(); });
     for (const int number : {SIGTERM, SIGINT})
     {
         loop.on_signal(number, [&] { self.stop([&] { loop.stop(); }); });
@@ -68,7 +74,7 @@
 }
 
 /// Runs the kind of process that the settings ask for.
-int serve(const runtime::settings& values)
+int serve(const std::string& path, const runtime::settings& values)
 {
     raise_descriptor_limit();
     runtime::event_loop loop;
@@ -76,10 +82,19 @@
     if (values.admission.mode == runtime::admission_mode::probing)
     {
         entry::probing_process self(loop, timers, values);
-        return run_until_stopped(loop, self);
+        return run_until_stopped(
+            loop, self,
+            {.timers = &timers,
+             .path = path,
+             .current = values,
+             .apply = [&](const runtime::settings& changed) { return self.reload(changed); }});
     }
     entry::instance_process self(loop, timers, values);
-    return run_until_stopped(loop, self);
+    return run_until_stopped(
+        loop, self,
+        {.timers = &timers, .path = path, .current = values, .apply = [](const runtime::settings&) {
+             return std::vector<std::string>();
+         }});
 }
 
 int run(const std::map<std::string, docopt::value>& arguments)
@@ -88,7 +103,8 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<int>
         {
-            BOOST_LEAF_AUTO(values, runtime::load_settings(arguments.at("--config").asString()));
+            const std::string& path = arguments.at("--config").asString();
+            BOOST_LEAF_AUTO(values, runtime::load_settings(path));
             if (arguments.at("--check").asBool())
             {
                 std::cout << "settings are valid\n";
@@ -99,7 +115,7 @@
                 runtime::print_settings(std::cout, values);
                 return 0;
             }
-            return serve(values);
+            return serve(path, values);
         },
         [](const runtime::settings_error& error)
         {
--- a/packages/entry/src/news/news_exchange.cpp
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/entry/news/news_exchange.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
+#include <catkintally/wire/codec/make_message.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -56,9 +57,7 @@
         copy->deleted = object.deleted;
         data.objects.push_back(std::move(copy));
     }
-    wire::payloadUnion message;
-    message.Set(std::move(data));
-    return message;
+    return wire::make_message(std::move(data));
 }
 
 object_update update_of(const wire::news_update_data& data)
@@ -158,9 +157,7 @@
         peer->age_ms = milliseconds_of(now - each.alive_at);
         sample.peers.push_back(std::move(peer));
     }
-    wire::payloadUnion message;
-    message.Set(std::move(sample));
-    network_.send_to_all(message, {});
+    network_.send_to_all(wire::make_message(std::move(sample)), {});
     std::erase_if(
         readers_, [now](const auto& each) { return now - each.second.heard > reader_memory; });
 
@@ -195,9 +192,7 @@
         known->digest = state.digest;
         data.known.push_back(std::move(known));
     }
-    wire::payloadUnion message;
-    message.Set(std::move(data));
-    return message;
+    return wire::make_message(std::move(data));
 }
 
 void news_exchange::tell_call(bool reached)
@@ -273,9 +268,7 @@
         runtime::event_id::news_gap, {{"kind", prefix}, {"asked", core::to_text(from)}});
     wire::news_pull_data data;
     data.prefix = prefix;
-    wire::payloadUnion message;
-    message.Set(std::move(data));
-    network_.send(from, message);
+    network_.send(from, wire::make_message(std::move(data)));
 }
 
 void news_exchange::on_pull(const core::member& from, const wire::news_pull_data& message)
@@ -319,9 +312,7 @@
         return;
     }
     readers_[name] = {.sequence = message.sequence, .heard = options_.timers->now()};
-    wire::payloadUnion copy;
-    copy.Set(wire::reader_word_data(message));
-    network_.send_to_all(copy, from.id);
+    network_.send_to_all(wire::make_message(wire::reader_word_data(message)), from.id);
     options_.heard_reader(name, message.reached, milliseconds(message.age_ms));
 }
 
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -218,6 +218,17 @@
     return true;
 }
 
+std::vector<std::string> probing_process::reload(const runtime::settings& values)
+{
+    std::vector<std::string> applied;
+    if (values.platform.addresses != settings_.platform.addresses)
+    {
+        api_.set_addresses(api_options(values.platform).addresses);
+        applied.emplace_back("platform.addresses");
+    }
+    return applied;
+}
+
 void probing_process::stop(std::function<void()> stopped)
 {
     instance_.stop(std::move(stopped));
--- a/packages/runtime/include/catkintally/runtime/log/event_log.hpp
+++ b/packages/runtime/include/catkintally/runtime/log/event_log.hpp
@@ -24,7 +24,8 @@
 /// One field of an event: name and value.
 using event_field = std::pair<std::string_view, std::string>;
 
-/// Writes one line "NUMBER name field=value ..." to glog at the severity of the catalogue.
+/// Writes one line "SEVERITY MONTHDAY TIME NUMBER name field=value ..." to standard output, through
+/// glog at the severity of the catalogue. Never blocks; see log_output for the bounds.
 void log_event(event_id id, std::initializer_list<event_field> fields = {});
 
 } // namespace catkintally::runtime
--- a/packages/runtime/include/catkintally/runtime/settings/settings_loader.hpp
+++ b/packages/runtime/include/catkintally/runtime/settings/settings_loader.hpp
@@ -8,6 +8,7 @@
 #include <istream>
 #include <ostream>
 #include <string>
+#include <vector>
 
 namespace catkintally::runtime
 {
@@ -50,4 +51,8 @@
 /// Prints all settings as an INI file with help, units, ranges and defaults. Secrets are masked.
 void print_settings(std::ostream& out, const settings& values);
 
+/// Names "section.key" of the settings that differ.
+[[nodiscard]] std::vector<std::string>
+changed_settings(const settings& before, const settings& after);
+
 } // namespace catkintally::runtime
--- a/packages/runtime/src/log/event_log.cpp
+++ b/packages/runtime/src/log/event_log.cpp
@@ -1,10 +1,15 @@
 #include <catkintally/runtime/log/event_log.hpp>
+#include <catkintally/runtime/log/log_output.hpp>
 
 #include <glog/logging.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <chrono>
+#include <cstdio>
+
+#include <unistd.h>
 
 namespace catkintally::runtime
 {
@@ -34,6 +39,49 @@
     return *found;
 }
 
+double steady_seconds()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration<double>(now).count();
+}
+
+/// Takes lines from glog to standard output: "SEVERITY MONTHDAY TIME NUMBER name field=value ...".
+class output_sink final : public google::LogSink
+{
+public:
+    using google::LogSink::send;
+
+    void send(
+        google::LogSeverity severity,
+        const char* /*full_filename*/,
+        const char* /*base_filename*/,
+        int /*line*/,
+        const google::LogMessageTime& time,
+        const char* message,
+        std::size_t message_length) override
+    {
+        std::array<char, 48> prefix{};
+        const int length = std::snprintf(
+            prefix.data(), prefix.size(), "%c %02d%02d %02d:%02d:%02d.%06d ",
+            google::GetLogSeverityName(severity)[0], time.month() + 1, time.day(), time.hour(),
+            time.min(), time.sec(), static_cast<int>(time.usec()));
+        std::string text(prefix.data(), static_cast<std::size_t>(length));
+        text.append(message, message_length);
+        output_.write(text, severity != google::GLOG_INFO);
+    }
+
+private:
+    log_output output_{{.now = steady_seconds, .write = [](std::string_view bytes) {
+                            return write_without_blocking(STDOUT_FILENO, bytes);
+                        }}};
+};
+
+output_sink& sink()
+{
+    static output_sink only;
+    return only;
+}
+
 /// A value with spaces or control characters is quoted, so that a line stays one line.
 std::string quoted(const std::string& value)
 {
@@ -76,7 +124,7 @@
     {
         line.append(" ").append(name).append("=").append(quoted(value));
     }
-    google::LogMessage(__FILE__, __LINE__, entry.severity).stream() << line;
+    google::LogMessage(__FILE__, __LINE__, entry.severity, &sink(), false).stream() << line;
 }
 
 } // namespace catkintally::runtime
--- a/packages/runtime/src/settings/settings_loader.cpp
+++ b/packages/runtime/src/settings/settings_loader.cpp
@@ -290,4 +290,17 @@
     }
 }
 
+std::vector<std::string> changed_settings(const settings& before, const settings& after)
+{
+    std::vector<std::string> changed;
+    for (const auto& row : setting_descriptors())
+    {
+        if (text_of(row, before) != text_of(row, after))
+        {
+            changed.push_back(std::string(row.section) + '.' + std::string(row.key));
+        }
+    }
+    return changed;
+}
+
 } // namespace catkintally::runtime
--- a/packages/stand_ins/src/platform/platform_stand_in.cpp
+++ b/packages/stand_ins/src/platform/platform_stand_in.cpp
@@ -407,8 +407,11 @@
 {
     const bool create = running.kind == call_kind::create;
     std::optional<std::uint64_t> written;
+    std::string removed;
     if (running.kind == call_kind::remove)
     {
+        const auto known = store_.objects().find(running.key);
+        removed = known == store_.objects().end() ? "null" : known->second.value;
         written = store_.remove(running.key, running.if_version);
     }
     else
@@ -430,7 +433,8 @@
     const auto found = store_.objects().find(running.key);
     const std::string object =
         found == store_.objects().end()
-            ? ""
+            // A removed object is answered with the version of its removal.
+            ? (written ? object_text(running.key, *written, removed, "null") : "")
             : object_text(
                   running.key, found->second.version, found->second.value, found->second.status);
     running.set_answer(written ? 200 : 409, object);
