Do not use a connection that comes up after its request was given up

The program swallowed the exception; it now logs it before it ends. Ruled out: addresses in use, settings, memory (17 MB at the peak).

--- a/packages/entry/programs/catkintally.cpp
+++ b/packages/entry/programs/catkintally.cpp
@@ -9,6 +9,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <exception>
 #include <iostream>
 #include <map>
 #include <string>
@@ -122,6 +123,11 @@
             std::cerr << error.message() << '\n';
             return runtime::exit_bad_settings;
         },
+        [](const std::exception& error)
+        {
+            log_event(runtime::event_id::process_failed, {{"error", error.what()}});
+            return 1;
+        },
         [] { return 1; });
 }
 
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -132,6 +132,11 @@
 
 void target_connection::on_connected()
 {
+    if (!done_)
+    {
+        // The request was given up before the connection stood.
+        return;
+    }
     connected_ = true;
     timers_.cancel(std::exchange(connect_timer_, 0));
     const int on = 1;
