Serve latency histograms on the metrics address

Quantiles of instances cannot be added up, so a scraper could not tell the latency of the fleet. Latencies are now counted in fixed buckets since the start; the quantiles of the newest samples stay as a family of their own.

--- a/packages/entry/include/catkintally/entry/http/http_path.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_path.hpp
@@ -53,8 +53,8 @@
 private:
     struct service_metrics
     {
-        runtime::latency_summary* total = nullptr;
-        runtime::latency_summary* added = nullptr;
+        runtime::latency_histogram* total = nullptr;
+        runtime::latency_histogram* added = nullptr;
         std::map<std::string, runtime::metric_counter*> requests;
     };
 
--- a/packages/runtime/include/catkintally/runtime/metrics/metrics_registry.hpp
+++ b/packages/runtime/include/catkintally/runtime/metrics/metrics_registry.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <catkintally/runtime/metrics/latency_summary.hpp>
+#include <catkintally/runtime/metrics/latency_histogram.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -39,8 +39,8 @@
     [[nodiscard]] metric_counter&
     counter(const std::string& name, const metric_labels& labels = {});
 
-    /// The latency summary with this name and labels, created at the first call.
-    [[nodiscard]] latency_summary&
+    /// The latency histogram with this name and labels, created at the first call.
+    [[nodiscard]] latency_histogram&
     latency(const std::string& name, const metric_labels& labels = {});
 
     /// A gauge whose value is read when the metrics are printed. A second call replaces the first.
@@ -53,7 +53,7 @@
     struct series
     {
         std::unique_ptr<metric_counter> counter;
-        std::unique_ptr<latency_summary> latency;
+        std::unique_ptr<latency_histogram> latency;
         std::function<double()> gauge;
     };
 
--- a/packages/runtime/src/metrics/latency_histogram.cpp
+++ b/packages/runtime/src/metrics/latency_histogram.cpp
@@ -1,4 +1,4 @@
-#include <catkintally/runtime/metrics/latency_summary.hpp>
+#include <catkintally/runtime/metrics/latency_histogram.hpp>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -6,8 +6,8 @@
 #include <boost/accumulators/statistics/stats.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cstddef>
+#include <cassert>
+#include <numeric>
 #include <utility>
 
 namespace catkintally::runtime
@@ -25,7 +25,7 @@
 
 } // namespace
 
-struct latency_summary::window
+struct latency_histogram::window
 {
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>> samples{
         acc::extended_p_square_probabilities = probabilities};
@@ -33,18 +33,23 @@
     [[nodiscard]] bool is_usable() const { return acc::count(samples) >= least_samples; }
 };
 
-latency_summary::latency_summary()
+latency_histogram::latency_histogram()
     : current_(std::make_unique<window>())
 {
 }
 
-latency_summary::~latency_summary() = default;
+latency_histogram::~latency_histogram() = default;
 
-void latency_summary::add(core::duration sample)
+void latency_histogram::add(core::duration sample)
 {
     const double seconds = std::chrono::duration<double>(sample).count();
     ++count_;
     sum_ += seconds;
+    const auto bucket = std::lower_bound(bucket_bounds.begin(), bucket_bounds.end(), seconds);
+    if (bucket != bucket_bounds.end())
+    {
+        ++buckets_[static_cast<std::size_t>(bucket - bucket_bounds.begin())];
+    }
     if (acc::count(current_->samples) >= window_samples)
     {
         previous_ = std::exchange(current_, std::make_unique<window>());
@@ -52,7 +57,14 @@
     current_->samples(seconds);
 }
 
-std::optional<double> latency_summary::quantile(double probability) const
+std::uint64_t latency_histogram::count_up_to(std::size_t bucket) const
+{
+    assert(bucket < buckets_.size());
+    const auto end = buckets_.begin() + static_cast<std::ptrdiff_t>(bucket) + 1;
+    return std::accumulate(buckets_.begin(), end, std::uint64_t{0});
+}
+
+std::optional<double> latency_histogram::quantile(double probability) const
 {
     const auto* found = std::find(probabilities.begin(), probabilities.end(), probability);
     // A young window says little about the far tail, so the full one before it is preferred.
--- a/packages/runtime/src/metrics/metrics_registry.cpp
+++ b/packages/runtime/src/metrics/metrics_registry.cpp
@@ -1,6 +1,5 @@
 #include <catkintally/runtime/metrics/metrics_registry.hpp>
 
-#include <array>
 #include <sstream>
 
 namespace catkintally::runtime
@@ -38,24 +37,49 @@
     return labels.empty() ? "" : "{" + labels + "}";
 }
 
-void print_latency(
+std::string with(const std::string& labels, const std::string& name, const std::string& value)
+{
+    return '{' + labels + (labels.empty() ? "" : ",") + name + "=\"" + value + "\"}";
+}
+
+std::string number_text(double number)
+{
+    std::ostringstream out;
+    out << number;
+    return out.str();
+}
+
+void print_buckets(
     std::ostream& out,
     const std::string& name,
     const std::string& labels,
-    const latency_summary& summary)
+    const latency_histogram& latency)
 {
-    constexpr std::array<std::pair<double, const char*>, 4> reported = {
-        {{0.5, "0.5"}, {0.9, "0.9"}, {0.99, "0.99"}, {0.999, "0.999"}}};
-    for (const auto& [probability, text] : reported)
+    for (std::size_t bucket = 0; bucket < latency_histogram::bucket_bounds.size(); ++bucket)
     {
-        if (const auto value = summary.quantile(probability))
+        out << name << "_bucket"
+            << with(labels, "le", number_text(latency_histogram::bucket_bounds[bucket])) << ' '
+            << latency.count_up_to(bucket) << '\n';
+    }
+    out << name << "_bucket" << with(labels, "le", "+Inf") << ' ' << latency.count() << '\n';
+    out << name << "_sum" << braced(labels) << ' ' << latency.sum() << '\n';
+    out << name << "_count" << braced(labels) << ' ' << latency.count() << '\n';
+}
+
+void print_quantiles(
+    std::ostream& out,
+    const std::string& name,
+    const std::string& labels,
+    const latency_histogram& latency)
+{
+    for (const double probability : {0.5, 0.9, 0.99, 0.999})
+    {
+        if (const auto value = latency.quantile(probability))
         {
-            out << name << '{' << labels << (labels.empty() ? "" : ",") << "quantile=\"" << text
-                << "\"} " << *value << '\n';
+            out << name << "_quantile" << with(labels, "quantile", number_text(probability)) << ' '
+                << *value << '\n';
         }
     }
-    out << name << "_sum" << braced(labels) << ' ' << summary.sum() << '\n';
-    out << name << "_count" << braced(labels) << ' ' << summary.count() << '\n';
 }
 
 } // namespace
@@ -76,12 +100,12 @@
     return *found;
 }
 
-latency_summary& metrics_registry::latency(const std::string& name, const metric_labels& labels)
+latency_histogram& metrics_registry::latency(const std::string& name, const metric_labels& labels)
 {
     auto& found = find(name, labels).latency;
     if (!found)
     {
-        found = std::make_unique<latency_summary>();
+        found = std::make_unique<latency_histogram>();
     }
     return *found;
 }
@@ -101,7 +125,7 @@
         const series& first = members.begin()->second;
         out << "# TYPE " << name
             << (first.counter   ? " counter\n"
-                : first.latency ? " summary\n"
+                : first.latency ? " histogram\n"
                                 : " gauge\n");
         for (const auto& [labels, member] : members)
         {
@@ -111,13 +135,23 @@
             }
             else if (member.latency)
             {
-                print_latency(out, name, labels, *member.latency);
+                print_buckets(out, name, labels, *member.latency);
             }
             else
             {
                 out << name << braced(labels) << ' ' << member.gauge() << '\n';
             }
         }
+        if (!first.latency)
+        {
+            continue;
+        }
+        // Quantiles of the newest samples are a family of their own in this format.
+        out << "# TYPE " << name << "_quantile gauge\n";
+        for (const auto& [labels, member] : members)
+        {
+            print_quantiles(out, name, labels, *member.latency);
+        }
     }
     return out.str();
 }
