Take no answer that does not name its request

Cause: a target sends a surplus answer to an earlier request when the next request comes on the connection. A health check took it for its own answer, the request that followed on the connection then took the answer to the check, because answers without an id were accepted. Change: a check skips answers that name a request; a request skips answers that name none, where targets always name it.

--- a/packages/core/include/catkintally/core/targets/target_dialect.hpp
+++ b/packages/core/include/catkintally/core/targets/target_dialect.hpp
@@ -21,6 +21,8 @@
 {
     /// Carries the request's id to the target, which copies it into the answer.
     std::string request_id_header = "catkintally-request-id";
+    /// Targets copy the id into every answer, so an answer without it belongs to another request.
+    bool answers_name_request = false;
     /// The caller names its requests by that header, so its value is kept.
     bool caller_names_requests = false;
     /// Names the target that a request is meant for, so that another one that has taken over the
--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -28,11 +28,23 @@
     bool close_delimited = false;
 };
 
-/// A header that a target copies from a request into the answer.
-struct echoed_header
+/// Tells the answer to a request from a surplus answer to an earlier request of the connection, by a
+/// header that targets copy from a request into its answer.
+struct answer_mark
 {
-    std::string name;
+    std::string header;
+    /// Value in the request and in its answer. Empty: the request does not carry the header, so its
+    /// answer does not either.
     std::string value;
+    /// Targets copy the header into every answer, so one without it answers another request.
+    bool always = false;
+
+    /// True if an answer with these fields may be the answer to the request.
+    [[nodiscard]] bool matches(const header_list& fields) const
+    {
+        const std::string* found = find_field(fields, header);
+        return found == nullptr ? value.empty() || !always : *found == value;
+    }
 };
 
 /// One request as it is sent to a target.
@@ -44,9 +56,8 @@
     /// Fields without framing; the connection adds that.
     header_list fields;
     shared_body body;
-    /// An answer in which this header has another value belongs to an earlier request of the
-    /// connection and is skipped.
-    std::optional<echoed_header> echo{};
+    /// Answers that do not match are skipped.
+    std::optional<answer_mark> mark{};
     /// Asked once, directly before the first byte; false holds the request back.
     std::function<bool()> may_send;
 };
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -147,7 +147,11 @@
                                  .expected_target = target_,
                                  .caller_address = request.address}),
             .body = request.body,
-            .echo = echoed_header{context_.dialect->request_id_header, plan_.request_id},
+            .mark =
+                answer_mark{
+                    .header = context_.dialect->request_id_header,
+                    .value = plan_.request_id,
+                    .always = context_.dialect->answers_name_request},
             // The fleet marks the grant as used, so this is asked once for each grant.
             .may_send = [gateway = context_.gateway, id = plan_.request.id]
             { return gateway->may_send(id); }},
--- a/packages/entry/src/process/target_prober.cpp
+++ b/packages/entry/src/process/target_prober.cpp
@@ -46,6 +46,9 @@
     request.method = "GET";
     request.uri = service.health_path;
     request.fields = {{"Host", target.address}};
+    // Without an id of its own, the check must not take the answer to an earlier request: the true
+    // answer to the check would then pass for the answer to the next request.
+    request.mark = answer_mark{.header = options_.dialect->request_id_header, .value = {}};
     request.may_send = [] { return true; };
     pending.dispatch = options_.pool().dispatch(
         target.address, std::move(request),
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -217,23 +217,19 @@
 {
     auto answer = reader_->take();
     const bool kept = reader_->keeps_connection();
-    if (request_.echo)
+    if (request_.mark && !request_.mark->matches(answer->headers))
     {
-        const std::string* echoed = find_field(answer->headers, request_.echo->name);
-        if (echoed != nullptr && *echoed != request_.echo->value)
+        // The own answer may still follow, but this connection has shown that it can't be trusted
+        // with another request.
+        spent_ = true;
+        if (!kept)
         {
-            // The own answer may still follow, but this connection has shown that it can't be
-            // trusted with another request.
-            spent_ = true;
-            if (!kept)
-            {
-                fail("answer to another request");
-                return;
-            }
-            await_answer();
-            read_answer();
+            fail("answer to another request");
             return;
         }
+        await_answer();
+        read_answer();
+        return;
     }
     // A body that has not left entirely would be read as the next request.
     const bool body_left = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
--- a/packages/entry/tests/http/target_dialect_test.cpp
+++ b/packages/entry/tests/http/target_dialect_test.cpp
@@ -86,6 +86,21 @@
     CHECK(target.accepted == (kept ? 1 : 2));
 }
 
+// Guards against the answer to a health check that passes for the answer to the next request of the
+// connection: on a played day a caller got a success that no target had given it.
+TEST_CASE("an answer without an id is skipped where targets always name the request")
+{
+    core::target_dialect strict = dialect();
+    strict.answers_name_request = true;
+    path_fixture bench([](auto&) {}, strict);
+    scripted_target target(
+        bench.loop, {.answer = answer("", "health") + answer("X-Id: abc\r\n", "mine")});
+    bench.grant({target.address()});
+    const std::string response = bench.ask(path_fixture::request("POST", "X-Id: abc\r\n"));
+    CHECK(status_of(response) == 200);
+    CHECK(body_of(response) == "mine");
+}
+
 // Guards against an answer without length that is refused although it is whole.
 TEST_CASE("an answer without length is whole when its connection ends in order")
 {
--- a/packages/entry/tests/targets/target_connection_test.cpp
+++ b/packages/entry/tests/targets/target_connection_test.cpp
@@ -39,3 +39,50 @@
     CHECK(ends.size() == 1);
     CHECK_FALSE(connection.is_reusable());
 }
+
+// Guards against a health check that takes a late answer to an earlier request for its own, so that
+// its true answer is taken for the answer to the request that follows it on the connection.
+TEST_CASE("answers that do not match the mark of a request are skipped")
+{
+    struct row
+    {
+        const char* name;
+        answer_mark mark;
+        std::string first;
+        bool skipped;
+    };
+    const auto sample = GENERATE(values<row>(
+        {{"check, answer to a request", {.header = "X-Id", .value = ""}, "X-Id: old\r\n", true},
+         {"check, own answer", {.header = "X-Id", .value = ""}, "", false},
+         {"request, answer to a check", {"X-Id", "abc", true}, "", true},
+         {"request, target without marks", {"X-Id", "abc", false}, "", false},
+         {"request, own answer", {"X-Id", "abc", true}, "X-Id: abc\r\n", false}}));
+    INFO(sample.name);
+    runtime::event_loop loop;
+    core::manual_timer_service timers;
+    const std::string second_id =
+        sample.mark.value.empty() ? "" : "X-Id: " + sample.mark.value + "\r\n";
+    scripted_target target(
+        loop, {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + sample.first +
+                         "\r\nfirst|HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + second_id +
+                         "\r\nsecond"});
+    target_connection connection(loop, timers, {}, target.address());
+    target_request request;
+    request.method = "GET";
+    request.uri = "/";
+    request.mark = sample.mark;
+    request.may_send = [] { return true; };
+    std::string body;
+    connection.send(request, [&](const dispatch_end& end) { body = end.answer->body; });
+    while (body.empty())
+    {
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    CHECK(body == (sample.skipped ? "second" : "first"));
+    // Either way the connection has shown a surplus answer.
+    for (int quiet = 0; quiet < 20; ++quiet)
+    {
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+    }
+    CHECK_FALSE(connection.is_reusable());
+}
