Look after late requests and move those that their target lost

Cause: a request at a target that lost power waits until its deadline, since nothing is left to be acknowledged and no answer comes. Change: at half of its objective a request costs a health check of its target. If that stays unanswered and two new connections do not come up within 20 ms each, the target is down, and idempotent requests move (loss_watch). A target that reports fewer requests than it was sent has dropped the oldest ones. Ruled out: leaving a target that is silent for the whole objective (docs/decisions/probing.md) moves away from full targets, too.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkintally/core/admission/loss_watch.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/admission/retry_budget.hpp>
 #include <catkintally/core/admission/split_mix.hpp>
@@ -13,7 +14,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace catkintally::core
@@ -78,8 +78,12 @@
     /// Sends one health check; answers exactly once, never inline.
     std::function<void(const service_config&, const target_row&, std::function<void(probe_report)>)>
         probe{};
+    /// Opens a new connection to a target; calls the hook, never inline, when it stands or fails.
+    std::function<void(const target_row&, std::function<void()>)> reach{};
     /// Told of each decision; may be empty.
     std::function<void(const probing_decision&)> decided{};
+    /// Told when a request is found to be lost at its target; may be empty.
+    std::function<void(const std::string& trace_id, const std::string& target, loss_cause)> lost{};
     /// Told when a target gets no work for a while because it failed; may be empty.
     std::function<void(const std::string& service, const std::string& target, std::uint32_t)>
         ejected{};
@@ -110,7 +114,6 @@
 
 private:
     using answer_hook = std::function<void(admission_answer)>;
-    using target_key = std::pair<std::string, std::string>;
 
     struct target_state
     {
@@ -138,6 +141,11 @@
     {
         target_key target;
         time_point at{};
+        /// Time left for an answer of full use; zero if unknown or over.
+        duration objective_left{};
+        std::string trace_id;
+        /// Told if the target has lost the request; may be empty.
+        std::function<void()> lost;
     };
 
     void ask(admission_request request, answer_hook answer);
@@ -153,6 +161,10 @@
     [[nodiscard]] const asked_target* best_of(application& asking);
     void finish(request_id id, decision_code code, const target_row* target, duration retry_after);
     [[nodiscard]] bool may_send(request_id id);
+    void watch(request_id id, std::function<void()> lost);
+    void check_target(const target_key& key, std::function<void(probe_report)> done);
+    void reach_target(const target_key& key, std::function<void()> ended);
+    void on_lost(request_id id, loss_cause cause);
     void complete(const completion_report& report);
     void report_failure(const target_key& key);
     [[nodiscard]] const service_config* service(const std::string& name) const;
@@ -169,6 +181,7 @@
     std::map<std::string, retry_budget> retries_;
     std::map<request_id, application> applications_;
     std::map<request_id, grant> grants_;
+    loss_watch watch_;
     split_mix random_;
     std::uint64_t probes_ = 0;
     /// Expires with this object; late answers check it.
--- a/packages/core/include/catkintally/core/fleet/admission_gateway.hpp
+++ b/packages/core/include/catkintally/core/fleet/admission_gateway.hpp
@@ -58,6 +58,9 @@
     /// Checked directly before the first byte is sent: the grant is still valid, the target is not
     /// draining or out, and this instance's view of the fleet is fresh.
     std::function<bool(request_id)> may_send;
+    /// Asks to be told, at most once and never inline, if the target turns out to have lost the
+    /// granted request, which was just sent. Empty where nothing looks for lost requests.
+    std::function<void(request_id, std::function<void()>)> watch{};
     /// Reports the end of a granted request. `answer` is set for a keyed request that was answered.
     std::function<void(completion_report, std::shared_ptr<const stored_answer>)> complete;
 };
--- a/packages/core/include/catkintally/core/time/manual_timer_service.hpp
+++ b/packages/core/include/catkintally/core/time/manual_timer_service.hpp
@@ -22,6 +22,10 @@
     /// among equals, of subscription.
     void advance(duration step);
 
+    /// Lets time pass without running callbacks, as when the process is paused; those that fall due
+    /// meanwhile run late, with the next advance().
+    void pause(duration step) { now_ += step; }
+
 private:
     using queue_key = std::pair<time_point, timer_id>;
 
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -31,7 +31,14 @@
 constexpr std::uint32_t max_waiting = 2;
 
 /// Without any answer the last round waits this many times longer before the request is refused.
-constexpr int patience = 10;
+constexpr int last_round_factor = 10;
+
+/// A request is checked on when this part of its objective has passed: late enough that most are
+/// answered before, and early enough that a second target can answer in time.
+constexpr double patience_part = 0.5;
+
+/// The same for requests without an objective, or whose objective is over.
+constexpr duration usual_patience = milliseconds(200);
 
 /// Validity of a grant; longer than a connection takes to be made.
 constexpr duration validity = std::chrono::seconds(1);
@@ -55,9 +62,16 @@
 
 probing_gateway::probing_gateway(probing_gateway_options options)
     : options_(std::move(options))
+    , watch_(
+          {.timers = options_.timers,
+           .probe = [this](const target_key& key, std::function<void(probe_report)> done)
+           { check_target(key, std::move(done)); },
+           .reach = [this](const target_key& key, std::function<void()> ended)
+           { reach_target(key, std::move(ended)); },
+           .lost = [this](request_id id, loss_cause cause) { on_lost(id, cause); }})
     , random_(options_.seed)
 {
-    assert(options_.timers != nullptr && options_.probe);
+    assert(options_.timers != nullptr && options_.probe && options_.reach);
 }
 
 probing_gateway::~probing_gateway()
@@ -84,6 +98,7 @@
             }
         },
         .may_send = [this](request_id id) { return may_send(id); },
+        .watch = [this](request_id id, std::function<void()> lost) { watch(id, std::move(lost)); },
         .complete =
             [this](const completion_report& report, const std::shared_ptr<const stored_answer>&)
         { complete(report); }};
@@ -394,7 +409,7 @@
     {
         ++asking.round;
         asking.timer = options_.timers->schedule_after(
-            options_.answer_time * patience, [this, id] { decide(id); });
+            options_.answer_time * last_round_factor, [this, id] { decide(id); });
         return;
     }
     finish(
@@ -419,7 +434,12 @@
     if (target != nullptr)
     {
         const target_key key(asking.request.service, target->name);
-        grants_[id] = {.target = key, .at = now};
+        grants_[id] = {
+            .target = key,
+            .at = now,
+            .objective_left = asking.request.objective_left,
+            .trace_id = asking.request.trace_id,
+            .lost = nullptr};
         state(key).in_flight.insert(now);
         state(key).health.sent(now);
         if (!asking.request.retry)
@@ -470,6 +490,62 @@
     return target != nullptr && takes_new_work(*target, *table_);
 }
 
+void probing_gateway::watch(request_id id, std::function<void()> lost)
+{
+    grant& watched = grants_.at(id);
+    watched.lost = std::move(lost);
+    const auto part = std::chrono::duration_cast<duration>(watched.objective_left * patience_part);
+    watch_.sent(id, watched.target, part > duration::zero() ? part : usual_patience);
+}
+
+void probing_gateway::check_target(const target_key& key, std::function<void(probe_report)> done)
+{
+    const service_config* config = service(key.first);
+    const target_row* target = row(key);
+    if (config == nullptr || target == nullptr)
+    {
+        // The target has left the table and may serve its last requests; nothing is learnt of it.
+        probe_report unknown;
+        unknown.answered = true;
+        options_.timers->schedule_after(
+            duration::zero(), [done = std::move(done), unknown] { done(unknown); });
+        return;
+    }
+    ++probes_;
+    options_.probe(*config, *target, std::move(done));
+}
+
+void probing_gateway::reach_target(const target_key& key, std::function<void()> ended)
+{
+    if (const target_row* target = row(key))
+    {
+        options_.reach(*target, std::move(ended));
+        return;
+    }
+    options_.timers->schedule_after(duration::zero(), std::move(ended));
+}
+
+void probing_gateway::on_lost(request_id id, loss_cause cause)
+{
+    const auto found = grants_.find(id);
+    if (found == grants_.end())
+    {
+        return;
+    }
+    if (options_.lost)
+    {
+        options_.lost(found->second.trace_id, found->second.target.second, cause);
+    }
+    if (cause != loss_cause::not_at_target)
+    {
+        report_failure(found->second.target);
+    }
+    if (const auto lost = found->second.lost)
+    {
+        lost();
+    }
+}
+
 void probing_gateway::complete(const completion_report& report)
 {
     const auto found = grants_.find(report.id);
@@ -479,6 +555,7 @@
     }
     const grant ended = found->second;
     grants_.erase(found);
+    watch_.ended(report.id);
     const auto known = targets_.find(ended.target);
     if (known == targets_.end())
     {
--- a/packages/core/tests/admission/probing_gateway_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_test.cpp
@@ -36,6 +36,13 @@
             }
             timers.schedule_after(1ms, [done, report = found->second] { done(report); });
         };
+        options.reach = [this](const target_row& target, const std::function<void()>& ended)
+        {
+            if (reports.contains(target.name))
+            {
+                timers.schedule_after(1ms, ended);
+            }
+        };
         options.decided = [this](const probing_decision& decision)
         { decisions.push_back(decision); };
         gateway_object.emplace(options);
@@ -75,6 +82,7 @@
         request.id = id;
         request.service = "desk";
         request.idempotent = true;
+        request.objective_left = objective;
         request.retry = retry;
         request.excluded_targets = std::move(excluded);
         gateway.ask(
@@ -106,6 +114,8 @@
 
     manual_timer_service timers;
     table_snapshot table;
+    /// Time that requests have left for an answer of full use.
+    duration objective{};
     std::map<std::string, probe_report> reports;
     std::vector<std::string> asked;
     std::vector<probing_decision> decisions;
@@ -434,3 +444,46 @@
     CHECK(fixture.answers.empty());
     CHECK(fixture.decisions.empty());
 }
+
+// Guards against a request that waits until its deadline at a target that lost power, and against
+// further requests that follow it there.
+TEST_CASE("a request at a target that falls silent is reported as lost")
+{
+    struct row
+    {
+        const char* name;
+        duration objective;
+        duration reported_by;
+    };
+    // The first check comes at half of the objective; it and two new connections are awaited
+    // 20 ms each.
+    const auto each = GENERATE(
+        row{"with an objective", 200ms, 161ms}, row{"without one", duration::zero(), 261ms});
+    INFO(each.name);
+    probing_fixture all(2);
+    all.objective = each.objective;
+    const std::string target = all.decide(1).target;
+    int lost = 0;
+    all.gateway.watch(1, [&] { ++lost; });
+    all.reports.erase(target);
+    all.timers.advance(each.reported_by - 2ms);
+    CHECK(lost == 0);
+    all.timers.advance(2ms);
+    CHECK(lost == 1);
+    CHECK(all.gateway_object->ejected_count() == 1);
+    all.complete(1, completion_outcome::connection_lost, 0);
+    CHECK(all.decide(2, true).target != target);
+}
+
+// Guards against a watch that outlives its request.
+TEST_CASE("a request that has ended is not reported as lost")
+{
+    probing_fixture all(2);
+    const std::string target = all.decide(1).target;
+    int lost = 0;
+    all.gateway.watch(1, [&] { ++lost; });
+    all.complete(1, completion_outcome::answered);
+    all.reports.erase(target);
+    all.timers.advance(2s);
+    CHECK(lost == 0);
+}
--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -76,6 +76,7 @@
     void dispatch(const core::admission_answer& answer);
     void on_lapsed();
     void on_end(const dispatch_end& end);
+    void on_target_lost();
     void on_deadline();
     void on_gone();
     void try_again(const refusal& otherwise);
--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -58,6 +58,8 @@
     shared_body body;
     /// Answers that do not match are skipped.
     std::optional<answer_mark> mark{};
+    /// Uses a connection of its own, not a kept one.
+    bool new_connection = false;
     /// Asked once, directly before the first byte; false holds the request back.
     std::function<bool()> may_send;
 };
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -162,6 +162,37 @@
                 self->on_end(end);
             }
         });
+    if (context_.gateway->watch)
+    {
+        context_.gateway->watch(
+            plan_.request.id,
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->on_target_lost();
+                }
+            });
+    }
+}
+
+void exchange::on_target_lost()
+{
+    const bool sent = context_.pool->is_sent(dispatch_);
+    if (dispatch_ == 0 || (sent && !plan_.request.idempotent))
+    {
+        // What must not run twice waits: the target may still answer.
+        return;
+    }
+    context_.pool->abandon(std::exchange(dispatch_, 0));
+    maybe_ran_ = maybe_ran_ || sent;
+    complete(
+        sent ? core::completion_outcome::connection_lost : core::completion_outcome::not_run, {});
+    try_again(
+        {.status = static_cast<std::uint16_t>(sent ? 502 : 503),
+         .claim = unsent_claim(),
+         .reason = "target_lost",
+         .retry_after = sent ? core::duration::zero() : core::duration(refused_retry_after)});
 }
 
 void exchange::on_lapsed()
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -178,7 +178,16 @@
                         const core::service_config& config, const core::target_row& target,
                         std::function<void(core::probe_report)> done)
     { prober_.probe(config.service, target, std::move(done)); };
+    options.reach = [this](const core::target_row& target, std::function<void()> ended)
+    { prober_.reach(target, std::move(ended)); };
     options.decided = log_decision;
+    options.lost =
+        [](const std::string& trace_id, const std::string& target, core::loss_cause cause)
+    {
+        log_event(
+            event_id::request_lost_at_target,
+            {{"request", trace_id}, {"target", target}, {"cause", loss_cause_name(cause)}});
+    };
     options.ejected =
         [](const std::string& service, const std::string& target, std::uint32_t failures)
     {
--- a/packages/entry/src/process/target_prober.cpp
+++ b/packages/entry/src/process/target_prober.cpp
@@ -55,6 +55,18 @@
         [this, id](const dispatch_end& end) { finish(id, end); });
 }
 
+void target_prober::reach(const core::target_row& target, std::function<void()> ended)
+{
+    target_request request;
+    request.method = "GET";
+    request.new_connection = true;
+    // Asked when the connection stands; holding the request back closes it again.
+    request.may_send = [] { return false; };
+    options_.pool().dispatch(
+        target.address, std::move(request),
+        [ended = std::move(ended)](const dispatch_end&) { ended(); });
+}
+
 core::probe_report target_prober::read(const dispatch_end& end) const
 {
     core::probe_report report;
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -49,7 +49,10 @@
 {
     running& entry = running_.at(id);
     target_state& state = targets_[entry.address];
-    entry.connection = take_kept(state);
+    if (!entry.request.new_connection)
+    {
+        entry.connection = take_kept(state);
+    }
     if (!entry.connection && state.busy + state.kept.size() >= limits_.connections)
     {
         entry.start_timer = timers_.schedule_after(
--- a/packages/entry/tests/http/interruption_test.cpp
+++ b/packages/entry/tests/http/interruption_test.cpp
@@ -55,6 +55,43 @@
     CHECK(bench.asked.size() == 1);
 }
 
+// Guards against an idempotent request that waits at a dead target until its deadline, and against
+// any other one that is sent twice although the first target may run it.
+TEST_CASE("only an idempotent request leaves a target that has lost it")
+{
+    const std::string method = GENERATE("GET", "POST");
+    const bool moves = method == "GET";
+    path_fixture bench;
+    scripted_target dead(bench.loop, {.hold = true});
+    scripted_target other(bench.loop, {});
+    bench.grant({dead.address(), other.address()});
+    raw_caller caller(bench.loop, bench.self->front().port());
+    caller.send(path_fixture::request(method, moves ? "" : "Idempotency-Key: k\r\n"));
+    bench.run_until([&] { return dead.requests == 1; });
+    REQUIRE(bench.watched.size() == 1);
+    bench.watched.begin()->second();
+    if (!moves)
+    {
+        bench.settle();
+        CHECK(bench.asked.size() == 1);
+        CHECK(dead.closed_by_peer == 0);
+        dead.release();
+    }
+    std::optional<std::string> response;
+    bench.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == 200);
+    CHECK(other.requests == (moves ? 1 : 0));
+    REQUIRE(bench.completed.size() == (moves ? 2 : 1));
+    CHECK(
+        bench.completed[0].first.outcome ==
+        (moves ? completion_outcome::connection_lost : completion_outcome::answered));
+    if (moves)
+    {
+        CHECK(bench.asked.at(1).retry);
+        CHECK(bench.asked.at(1).excluded_targets == std::vector<std::string>{"t1"});
+    }
+}
+
 // Guards against requests that outlive their deadline and against a wrong claim about them.
 TEST_CASE("the deadline ends waiting and dispatch")
 {
--- a/packages/entry/tests/support/path_fixture.cpp
+++ b/packages/entry/tests/support/path_fixture.cpp
@@ -123,6 +123,8 @@
     out.gateway.cancel = [this](core::request_id id) { cancelled.push_back(id); };
     out.gateway.may_send = [this](core::request_id id)
     { return unchecked.erase(id) > 0 && may_send; };
+    out.gateway.watch = [this](core::request_id id, std::function<void()> lost)
+    { watched[id] = std::move(lost); };
     out.gateway.complete = [this](core::completion_report report, auto answer)
     { completed.emplace_back(std::move(report), std::move(answer)); };
     out.joined = [this] { return joined; };
--- a/packages/entry/tests/support/path_fixture.hpp
+++ b/packages/entry/tests/support/path_fixture.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -68,6 +69,8 @@
     std::deque<core::admission_answer> answers;
     std::vector<core::admission_request> asked;
     std::vector<core::request_id> cancelled;
+    /// What to call if the target of a request has lost it.
+    std::map<core::request_id, std::function<void()>> watched;
     std::vector<std::pair<core::completion_report, std::shared_ptr<const core::stored_answer>>>
         completed;
     /// False makes every grant lapse. As in the fleet, a grant is good for one check.
