Wait for a free slot at usual speed instead of queueing at a target

Under a burst all instances filled the queues of the targets, which about halved what they serve. Change: a request that finds no free slot at usual speed asks again every 30 ms for half of its objective, and is then refused. Usual is what the fastest target of the service reported within a second, so that a service that is slow as a whole serves on. Late requests are checked after their whole objective (before: half), which saves checks.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkintally/core/admission/fastest_report.hpp>
 #include <catkintally/core/admission/loss_watch.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/admission/retry_budget.hpp>
@@ -133,6 +134,8 @@
         admission_request request;
         answer_hook answer;
         time_point since{};
+        /// Until then the request asks again if it finds no good slot.
+        time_point try_until{};
         std::uint32_t round = 0;
         std::vector<asked_target> asked;
         timer_id timer = 0;
@@ -156,8 +159,12 @@
     void
     take_report(request_id id, std::uint32_t round, const target_key& key, probe_report report);
     void learn(const target_key& key, const probe_report& report);
+    /// How slow a target may be relative to its usual speed, as a multiple of what the faster
+    /// targets of the service report now.
+    [[nodiscard]] double usual_slowdown(const std::string& service) const;
     void weigh(const application& asking, asked_target& asked) const;
     void decide(request_id id);
+    void try_later(request_id id);
     [[nodiscard]] const asked_target* best_of(application& asking);
     void finish(request_id id, decision_code code, const target_row* target, duration retry_after);
     [[nodiscard]] bool may_send(request_id id);
@@ -170,6 +177,7 @@
     [[nodiscard]] const service_config* service(const std::string& name) const;
     [[nodiscard]] const target_row* row(const target_key& key) const;
     target_state& state(const target_key& key) { return targets_[key]; }
+    [[nodiscard]] bool has_targets(const std::string& name) const;
     [[nodiscard]] duration refusal_wait();
     [[nodiscard]] bool may_use(const service_config& config, const target_row& target) const;
     [[nodiscard]] bool is_chosen_for_cold(const service_config& config, const target_row&) const;
@@ -179,6 +187,8 @@
     std::shared_ptr<const table_snapshot> table_ = std::make_shared<const table_snapshot>();
     std::map<target_key, target_state> targets_;
     std::map<std::string, retry_budget> retries_;
+    /// By service.
+    std::map<std::string, fastest_report> fastest_;
     std::map<request_id, application> applications_;
     std::map<request_id, grant> grants_;
     loss_watch watch_;
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -18,26 +18,29 @@
 /// Rounds of questions for one request. Three rounds reach most targets of a small service.
 constexpr std::uint32_t max_rounds = 3;
 
-/// A free target of the own failure domain that is at most this slow is taken before the other
-/// answers are in.
+/// A free target of the own failure domain that is at most this slow, relative to what is usual in
+/// the service, is taken before the other answers are in.
 constexpr double take_at_once = 1.2;
 
 /// A free target at most this slow is taken without a further round: another round costs a round
 /// trip and finds a better one only now and then.
 constexpr double good_enough = 2.0;
 
-/// Requests that may wait at a target before one more is sent. Targets queue only a few, and some
-/// never answer a request that they cannot queue.
-constexpr std::uint32_t max_waiting = 2;
+/// A request that finds no good slot asks again after this pause. Slots come free and the speed of
+/// targets changes within a fraction of the time that work takes, which is tens of milliseconds.
+constexpr duration pause_between_tries = milliseconds(30);
+
+/// It does so for this part of its objective. Later, work that takes the other part would be late.
+constexpr double waiting_part = 0.5;
+
+/// The same for requests without an objective.
+constexpr duration usual_waiting = milliseconds(100);
 
 /// Without any answer the last round waits this many times longer before the request is refused.
 constexpr int last_round_factor = 10;
 
-/// A request is checked on when this part of its objective has passed: late enough that most are
-/// answered before, and early enough that a second target can answer in time.
-constexpr double patience_part = 0.5;
-
-/// The same for requests without an objective, or whose objective is over.
+/// A request is checked on when its objective has passed: nearly all others are answered before, so
+/// the checks cost little. This is for requests without an objective, or whose objective is over.
 constexpr duration usual_patience = milliseconds(200);
 
 /// Validity of a grant; longer than a connection takes to be made.
@@ -154,6 +157,9 @@
     asking.request = std::move(request);
     asking.answer = std::move(answer);
     asking.since = options_.timers->now();
+    const auto part =
+        std::chrono::duration_cast<duration>(asking.request.objective_left * waiting_part);
+    asking.try_until = asking.since + (part > duration::zero() ? part : usual_waiting);
     if (!allowed)
     {
         finish(id, decision_code::refused_retry_budget, nullptr, refusal_wait());
@@ -218,15 +224,8 @@
     const auto chosen = choose_to_ask(candidates(asking));
     if (chosen.empty())
     {
-        if (asking.asked.empty())
-        {
-            finish(id, decision_code::refused_no_target, nullptr, refusal_wait());
-        }
-        else
-        {
-            asking.round = max_rounds;
-            decide(id);
-        }
+        asking.round = max_rounds;
+        decide(id);
         return;
     }
     ++asking.round;
@@ -272,6 +271,10 @@
         return;
     }
     known->second.health.set_cold_until(options_.timers->now() + report.warmup_left);
+    if (report.load)
+    {
+        fastest_[key.first].add(report.load->slowdown, options_.timers->now());
+    }
 }
 
 void probing_gateway::take_report(
@@ -295,8 +298,9 @@
     asked->result.report = std::move(report);
     asked->result.round_trip = options_.timers->now() - asked->asked_at;
     const asked_target* best = best_of(asking);
-    const bool take = best != nullptr && best->result.estimate.free &&
-                      best->result.estimate.relative_time <= take_at_once;
+    const double usual = usual_slowdown(asking.request.service);
+    const bool take =
+        best != nullptr && best->result.estimate.relative_time <= take_at_once * usual;
     const bool complete = std::none_of(
         asking.asked.begin(), asking.asked.end(),
         [](const asked_target& each) { return each.result.pending; });
@@ -306,6 +310,12 @@
     }
 }
 
+double probing_gateway::usual_slowdown(const std::string& service) const
+{
+    const auto found = fastest_.find(service);
+    return found == fastest_.end() ? 1 : found->second.usual(options_.timers->now());
+}
+
 void probing_gateway::weigh(const application& asking, asked_target& asked) const
 {
     const target_key key(asking.request.service, asked.name);
@@ -329,6 +339,7 @@
 const probing_gateway::asked_target* probing_gateway::best_of(application& asking)
 {
     const asked_target* best = nullptr;
+    const double usual = usual_slowdown(asking.request.service);
     for (asked_target& each : asking.asked)
     {
         const target_key key(asking.request.service, each.name);
@@ -345,6 +356,13 @@
             continue;
         }
         weigh(asking, each);
+        // No request waits at a target: there it would start at whatever speed the target then has.
+        // A slot of a target that is slow for a moment is better used when it is fast again.
+        const double slowdown = report.load ? report.load->slowdown : 1;
+        if (!each.result.estimate.free || slowdown > good_enough * usual)
+        {
+            continue;
+        }
         if (best == nullptr ||
             each.result.estimate.relative_time < best->result.estimate.relative_time)
         {
@@ -389,22 +407,17 @@
     application& asking = applications_.at(id);
     options_.timers->cancel(std::exchange(asking.timer, 0));
     const asked_target* best = best_of(asking);
-    const bool good = best != nullptr && best->result.estimate.free &&
-                      best->result.estimate.relative_time <= good_enough;
+    const double usual = usual_slowdown(asking.request.service);
+    const bool good = best != nullptr && best->result.estimate.relative_time <= good_enough * usual;
     if (!good && asking.round < max_rounds)
     {
         ask_round(id);
         return;
     }
-    if (best != nullptr && best->result.estimate.waiting < max_waiting)
-    {
-        const target_row* target = row({asking.request.service, best->name});
-        finish(id, decision_code::granted, target, duration::zero());
-        return;
-    }
-    const bool silent = std::all_of(
+    const auto count_pending = std::count_if(
         asking.asked.begin(), asking.asked.end(),
         [](const asked_target& each) { return each.result.pending; });
+    const bool silent = !asking.asked.empty() && std::cmp_equal(count_pending, asking.asked.size());
     if (silent && asking.round == max_rounds)
     {
         ++asking.round;
@@ -412,9 +425,42 @@
             options_.answer_time * last_round_factor, [this, id] { decide(id); });
         return;
     }
+    if (!good && !silent && has_targets(asking.request.service) &&
+        options_.timers->now() + pause_between_tries < asking.try_until)
+    {
+        try_later(id);
+        return;
+    }
+    if (best != nullptr)
+    {
+        const target_row* target = row({asking.request.service, best->name});
+        finish(id, decision_code::granted, target, duration::zero());
+        return;
+    }
+    const bool full = std::any_of(
+        asking.asked.begin(), asking.asked.end(),
+        [](const asked_target& each) { return each.result.report.answered; });
     finish(
-        id, best == nullptr ? decision_code::refused_no_target : decision_code::refused_queue_full,
-        nullptr, refusal_wait());
+        id, full ? decision_code::refused_queue_full : decision_code::refused_no_target, nullptr,
+        refusal_wait());
+}
+
+bool probing_gateway::has_targets(const std::string& name) const
+{
+    const service_config* config = service(name);
+    return config != nullptr &&
+           std::any_of(
+               config->targets.begin(), config->targets.end(),
+               [this](const target_row& each) { return takes_new_work(each, *table_); });
+}
+
+void probing_gateway::try_later(request_id id)
+{
+    application& asking = applications_.at(id);
+    asking.round = 0;
+    asking.asked.clear();
+    asking.timer =
+        options_.timers->schedule_after(pause_between_tries, [this, id] { ask_round(id); });
 }
 
 duration probing_gateway::refusal_wait()
@@ -494,8 +540,9 @@
 {
     grant& watched = grants_.at(id);
     watched.lost = std::move(lost);
-    const auto part = std::chrono::duration_cast<duration>(watched.objective_left * patience_part);
-    watch_.sent(id, watched.target, part > duration::zero() ? part : usual_patience);
+    watch_.sent(
+        id, watched.target,
+        watched.objective_left > duration::zero() ? watched.objective_left : usual_patience);
 }
 
 void probing_gateway::check_target(const target_key& key, std::function<void(probe_report)> done)
