Let each instance of a large fleet ask a part of the targets

Change: each instance has its own order of the targets and asks the first ones of its domain, more in the second round and all in the third. The size follows from the targets and instances of the domain, so that each target is used.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -120,6 +120,8 @@
     {
         target_health health;
         std::uint64_t incarnation = 0;
+        /// Place in the order in which this instance prefers targets.
+        std::uint64_t rank = 0;
         /// Own requests in flight, by the time of their grant.
         std::multiset<time_point> in_flight;
     };
@@ -154,8 +156,7 @@
     void ask(admission_request request, answer_hook answer);
     void ask_round(request_id id);
     [[nodiscard]] std::vector<const target_row*> candidates(const application& asking) const;
-    [[nodiscard]] std::vector<const target_row*>
-    choose_to_ask(std::vector<const target_row*> usable);
+    [[nodiscard]] std::vector<const target_row*> choose_to_ask(const application& asking);
     void
     take_report(request_id id, std::uint32_t round, const target_key& key, probe_report report);
     void learn(const target_key& key, const probe_report& report);
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -1,6 +1,7 @@
 #include <catkintally/core/admission/probing_gateway.hpp>
 
 #include <catkintally/core/admission/target_set.hpp>
+#include <catkintally/core/admission/target_subset.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -127,6 +128,7 @@
             }
             target_state& added = kept[key];
             added.incarnation = target.incarnation;
+            added.rank = target_rank(options_.self, target.name);
             added.health.set_cold_until(now + target.warmup_left);
         }
     }
@@ -204,24 +206,41 @@
     return healthy.size() * 2 >= all.size() ? healthy : all;
 }
 
-std::vector<const target_row*> probing_gateway::choose_to_ask(std::vector<const target_row*> usable)
+std::vector<const target_row*> probing_gateway::choose_to_ask(const application& asking)
 {
+    const auto usable = candidates(asking);
+    std::vector<subset_member> members;
+    members.reserve(usable.size());
+    for (std::size_t index = 0; index < usable.size(); ++index)
+    {
+        const target_row& target = *usable[index];
+        members.push_back(
+            {.rank = targets_.at({asking.request.service, target.name}).rank,
+             .near = target.failure_domain == options_.failure_domain,
+             .index = index});
+    }
+    members = narrow(std::move(members), fleet().near, asking.round);
+
     // A random order, with the targets of the own failure domain first.
-    for (std::size_t i = usable.size(); i > 1; --i)
+    for (std::size_t i = members.size(); i > 1; --i)
     {
-        std::swap(usable[i - 1], usable[random_.next() % i]);
+        std::swap(members[i - 1], members[random_.next() % i]);
     }
     std::stable_partition(
-        usable.begin(), usable.end(),
-        [this](const target_row* each) { return each->failure_domain == options_.failure_domain; });
-    usable.resize(std::min(usable.size(), options_.targets_asked));
-    return usable;
+        members.begin(), members.end(), [](const subset_member& each) { return each.near; });
+    members.resize(std::min(members.size(), options_.targets_asked));
+    std::vector<const target_row*> chosen;
+    for (const subset_member& each : members)
+    {
+        chosen.push_back(usable[each.index]);
+    }
+    return chosen;
 }
 
 void probing_gateway::ask_round(request_id id)
 {
     application& asking = applications_.at(id);
-    const auto chosen = choose_to_ask(candidates(asking));
+    const auto chosen = choose_to_ask(asking);
     if (chosen.empty())
     {
         asking.round = max_rounds;
--- /dev/null
+++ b/packages/core/src/admission/target_subset.cpp
@@ -0,0 +1,57 @@
+#include <catkintally/core/admission/split_mix.hpp>
+#include <catkintally/core/admission/target_subset.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace catkintally::core
+{
+
+namespace
+{
+
+/// Targets are asked three at a time, so this leaves a choice between several threes. An instance
+/// with two requests a second then asks each target every two seconds, while targets close idle
+/// connections after about ten.
+constexpr std::size_t smallest_subset = 12;
+
+/// Instances that use a target on average. With independent choices, one target in 3000 is used by
+/// none of them as a rule.
+constexpr std::size_t users_per_target = 8;
+
+/// The subset grows by this factor in the second round.
+constexpr std::size_t second_round_factor = 2;
+
+} // namespace
+
+std::uint64_t target_rank(const std::string& instance, const std::string& target)
+{
+    return split_mix(std::hash<std::string>()(instance + '/' + target)).next();
+}
+
+std::size_t subset_size(std::size_t targets, std::size_t instances)
+{
+    const std::size_t divisor = std::max<std::size_t>(instances, 1);
+    const std::size_t shared = (targets * users_per_target + divisor - 1) / divisor;
+    return std::max(shared, smallest_subset);
+}
+
+std::vector<subset_member>
+narrow(std::vector<subset_member> members, std::size_t instances, std::uint32_t round)
+{
+    const auto is_near = [](const subset_member& each) { return each.near; };
+    const auto near = std::partition(members.begin(), members.end(), is_near);
+    const auto count = static_cast<std::size_t>(near - members.begin());
+    const std::size_t kept = subset_size(count, instances) * (round == 0 ? 1 : second_round_factor);
+    if (round > 1 || count <= kept)
+    {
+        return members;
+    }
+    std::nth_element(
+        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(kept), near,
+        [](const subset_member& a, const subset_member& b) { return a.rank < b.rank; });
+    members.resize(kept);
+    return members;
+}
+
+} // namespace catkintally::core
