Use a part of the targets of other domains, too

Cause: while the own domain was taken out, an instance asked all targets of the others, and in the third round all of every domain; most had no open connection. Change: targets of other domains fill up a domain that has few, in the instance's order, and each round doubles the number.

--- a/packages/core/include/catkintally/core/admission/target_subset.hpp
+++ b/packages/core/include/catkintally/core/admission/target_subset.hpp
@@ -29,8 +29,8 @@
 [[nodiscard]] std::size_t subset_size(std::size_t targets, std::size_t instances);
 
 /// Narrows `members` to the ones to choose from in a round of questions (0 is the first): those of
-/// the own failure domain that the instance uses as a rule, more in the second round, and all in
-/// the third. Stable connections are worth less than an answer in time.
+/// the own failure domain that the instance uses as a rule, filled up with some of other domains
+/// where the own one has few, and twice as many in each further round.
 [[nodiscard]] std::vector<subset_member>
 narrow(std::vector<subset_member> members, std::size_t instances, std::uint32_t round);
 
--- a/packages/core/src/admission/target_subset.cpp
+++ b/packages/core/src/admission/target_subset.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 namespace catkintally::core
 {
@@ -19,9 +20,6 @@
 /// none of them as a rule.
 constexpr std::size_t users_per_target = 8;
 
-/// The subset grows by this factor in the second round.
-constexpr std::size_t second_round_factor = 2;
-
 } // namespace
 
 std::uint64_t target_rank(const std::string& instance, const std::string& target)
@@ -39,17 +37,16 @@
 std::vector<subset_member>
 narrow(std::vector<subset_member> members, std::size_t instances, std::uint32_t round)
 {
-    const auto is_near = [](const subset_member& each) { return each.near; };
-    const auto near = std::partition(members.begin(), members.end(), is_near);
-    const auto count = static_cast<std::size_t>(near - members.begin());
-    const std::size_t kept = subset_size(count, instances) * (round == 0 ? 1 : second_round_factor);
-    if (round > 1 || count <= kept)
-    {
-        return members;
-    }
+    const auto near = static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [](const subset_member& each) { return each.near; }));
+    // Each round doubles the number. Targets of other domains fill up a domain that has few.
+    const std::size_t near_kept = std::min(near, subset_size(near, instances) << round);
+    const std::size_t filled = std::max(near_kept, smallest_subset << round);
+    const std::size_t kept = std::min(near_kept < near ? near_kept : filled, members.size());
     std::nth_element(
-        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(kept), near,
-        [](const subset_member& a, const subset_member& b) { return a.rank < b.rank; });
+        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(kept), members.end(),
+        [](const subset_member& a, const subset_member& b)
+        { return std::tie(b.near, a.rank) < std::tie(a.near, b.rank); });
     members.resize(kept);
     return members;
 }
