--- a/packages/entry/include/catkintally/entry/peers/hello_auth.hpp
+++ b/packages/entry/include/catkintally/entry/peers/hello_auth.hpp
@@ -10,7 +10,7 @@
 {
 
 /// Version of the protocol between instances. Instances of different versions do not connect.
-inline constexpr std::uint32_t peer_protocol_version = 1;
+inline constexpr std::uint32_t peer_protocol_version = 2;
 
 /// Builds a hello of `self`, authenticated with the shared key. `peer_nonce` is the nonce of the
 /// peer's hello, 0 in the first hello of a connection; it keeps a recorded hello from being
--- a/packages/wire/include/catkintally/wire/codec/frame_codec.hpp
+++ b/packages/wire/include/catkintally/wire/codec/frame_codec.hpp
@@ -6,6 +6,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -16,10 +17,21 @@
 /// Bytes of the little-endian length field in front of each envelope.
 inline constexpr std::size_t frame_header_bytes = 4;
 
-/// Limit of one envelope. It holds a full idempotency table of one service in one recover_reply.
+/// Set in the length field of an envelope that compress() has shortened.
+inline constexpr std::size_t compressed_flag = std::size_t{1} << 31;
+
+/// A number as a little-endian field of frame_header_bytes.
+[[nodiscard]] std::string length_field(std::size_t number);
+
+/// Reverses length_field().
+[[nodiscard]] std::size_t read_length(std::span<const std::uint8_t, frame_header_bytes> field);
+
+/// Limit of one envelope, also after it is expanded. It holds a full idempotency table of one
+/// service in one recover_reply.
 inline constexpr std::size_t max_envelope_bytes = std::size_t{4} << 20;
 
-/// Serialises one message as length field and envelope. Fails with frame_error::too_large.
+/// Serialises one message as length field and envelope, compressed if it is large. Fails with
+/// frame_error::too_large.
 [[nodiscard]] boost::leaf::result<std::string> encode_frame(const payloadUnion& message);
 
 /// Cuts frames out of a byte stream and verifies them. Use one decoder per connection and stop
--- a/packages/wire/src/codec/frame_codec.cpp
+++ b/packages/wire/src/codec/frame_codec.cpp
@@ -1,3 +1,4 @@
+#include <catkintally/wire/codec/compression.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 
 #include <boost/leaf/error.hpp>
@@ -16,29 +17,48 @@
     flatbuffers::FlatBufferBuilder builder;
     const auto packed = message.Pack(builder);
     builder.Finish(Createenvelope(builder, message.type, packed));
-    const std::size_t size = builder.GetSize();
-    if (size > max_envelope_bytes)
+    const std::span<const std::uint8_t> envelope_bytes(
+        builder.GetBufferPointer(), builder.GetSize());
+    if (envelope_bytes.size() > max_envelope_bytes)
     {
         return leaf::new_error(frame_error::too_large);
     }
-    std::string frame;
-    frame.reserve(frame_header_bytes + size);
-    for (std::size_t i = 0; i < frame_header_bytes; ++i)
+    if (envelope_bytes.size() >= least_compressed_bytes)
     {
-        frame.push_back(static_cast<char>((size >> (8 * i)) & 0xff));
+        if (const auto shorter = compress(envelope_bytes))
+        {
+            return length_field(shorter->size() | compressed_flag) + *shorter;
+        }
     }
-    frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
+    std::string frame = length_field(envelope_bytes.size());
+    frame.append(reinterpret_cast<const char*>(envelope_bytes.data()), envelope_bytes.size());
     return frame;
 }
 
-leaf::result<std::size_t>
-frame_decoder::frame_size(std::span<const std::uint8_t, frame_header_bytes> header) const
+std::string length_field(std::size_t number)
+{
+    std::string field;
+    for (std::size_t i = 0; i < frame_header_bytes; ++i)
+    {
+        field.push_back(static_cast<char>((number >> (8 * i)) & 0xff));
+    }
+    return field;
+}
+
+std::size_t read_length(std::span<const std::uint8_t, frame_header_bytes> field)
 {
-    std::size_t size = 0;
+    std::size_t number = 0;
     for (std::size_t i = 0; i < frame_header_bytes; ++i)
     {
-        size |= static_cast<std::size_t>(header[i]) << (8 * i);
+        number |= static_cast<std::size_t>(field[i]) << (8 * i);
     }
+    return number;
+}
+
+leaf::result<std::size_t>
+frame_decoder::frame_size(std::span<const std::uint8_t, frame_header_bytes> header) const
+{
+    const std::size_t size = read_length(header) & ~compressed_flag;
     if (size == 0)
     {
         return leaf::new_error(frame_error::empty);
@@ -90,16 +110,19 @@
         return std::optional<payloadUnion>{};
     }
     const auto* start = reinterpret_cast<const std::uint8_t*>(buffer_.data()) + consumed_;
-    BOOST_LEAF_AUTO(
-        size,
-        frame_size(std::span<const std::uint8_t, frame_header_bytes>(start, frame_header_bytes)));
+    const std::span<const std::uint8_t, frame_header_bytes> header(start, frame_header_bytes);
+    BOOST_LEAF_AUTO(size, frame_size(header));
     if (available < size)
     {
         return std::optional<payloadUnion>{};
     }
     // FlatBuffers needs aligned input; the position within the stream is arbitrary.
-    const std::vector<std::uint8_t> aligned(start + frame_header_bytes, start + size);
+    std::vector<std::uint8_t> aligned(start + frame_header_bytes, start + size);
     consumed_ += size;
+    if ((read_length(header) & compressed_flag) != 0)
+    {
+        BOOST_LEAF_ASSIGN(aligned, decompress(aligned, limit_));
+    }
     BOOST_LEAF_AUTO(message, decode_envelope(aligned));
     return std::optional<payloadUnion>(std::move(message));
 }
--- a/packages/wire/tests/codec/frame_codec_test.cpp
+++ b/packages/wire/tests/codec/frame_codec_test.cpp
@@ -1,3 +1,4 @@
+#include <catkintally/wire/codec/compression.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
 
@@ -91,6 +92,67 @@
     CHECK(next_result(decoder) == test.expected);
 }
 
+// Guards against news of hundreds of targets that cost as much traffic as the requests do, and
+// against a change of their bytes.
+TEST_CASE("large envelopes are compressed and arrive unchanged")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t objects;
+        bool shorter;
+    };
+    const auto each = GENERATE(row{"small", 1, false}, row{"large", 400, true});
+    INFO(each.name);
+    news_update_data data;
+    data.prefix = "servers/";
+    std::size_t raw = 0;
+    for (std::size_t index = 0; index < each.objects; ++index)
+    {
+        auto object = std::make_unique<news_object_data>();
+        object->key = "servers/i-" + std::to_string(index * 7919);
+        object->value = R"({"service":"desk","address":"10.0.0.1:80","zone":"a","slots":2})";
+        raw += object->key.size() + object->value.size();
+        data.objects.push_back(std::move(object));
+    }
+    const std::string frame = encode_frame(make_message(std::move(data))).value();
+    CHECK((frame.size() < raw / 4) == each.shorter);
+    frame_decoder decoder;
+    decoder.append(bytes_of(frame));
+    const auto message = decoder.next().value();
+    REQUIRE(message);
+    const auto& objects = message->Asnews_update()->objects;
+    REQUIRE(objects.size() == each.objects);
+    CHECK(objects.back()->key == "servers/i-" + std::to_string((each.objects - 1) * 7919));
+}
+
+// Guards against a small frame that expands to more memory than a large one may take, and against
+// streams that end early or do not hold what they announce.
+TEST_CASE("compressed frames that lie about their content are refused")
+{
+    const std::vector<std::uint8_t> zeros(8192);
+    const std::string good = compress(zeros).value();
+    struct row
+    {
+        const char* name;
+        std::string content;
+        std::string expected;
+    };
+    const auto test = GENERATE_COPY(values<row>({
+        {"expands beyond the limit", length_field(max_envelope_bytes + 1) + good.substr(4),
+         "too_large"},
+        {"shorter than announced", length_field(8193) + good.substr(4), "malformed"},
+        {"longer than announced", length_field(8191) + good.substr(4), "malformed"},
+        {"cut off", good.substr(0, good.size() - 1), "malformed"},
+        {"no length", good.substr(0, 3), "malformed"},
+        {"no envelope inside", good, "malformed"},
+    }));
+    INFO(test.name);
+    frame_decoder decoder;
+    decoder.append(bytes_of(length_field(test.content.size() | compressed_flag) + test.content));
+    CHECK(next_result(decoder) == test.expected);
+}
+
 // Guards against crashes of the verifier path on corrupted input; seed fixed.
 TEST_CASE("corrupted frames never crash the decoder")
 {
