Instances that turn to the store say so first

Change: a reader says when its first call is under way; with eight of them, or four failing ones, further instances take turns. At a start the wait is drawn from 150 ms in place of 60 ms, so that links come up first.

--- a/packages/core/include/catkintally/core/news/reader_duty.hpp
+++ b/packages/core/include/catkintally/core/news/reader_duty.hpp
@@ -2,6 +2,7 @@
 
 #include <catkintally/core/admission/split_mix.hpp>
 #include <catkintally/core/time/timer_service.hpp>
+#include <catkintally/wire/generated/messages.generated.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -13,6 +14,8 @@
 namespace catkintally::core
 {
 
+using wire::reader_state;
+
 /// Fixed inputs of a reader_duty.
 struct reader_duty_options
 {
@@ -31,7 +34,7 @@
     /// of them can tell the others.
     duration spread = std::chrono::milliseconds(150);
     /// As `spread`, for an instance that starts.
-    duration start_spread = std::chrono::milliseconds(60);
+    duration start_spread = std::chrono::milliseconds(150);
     /// Estimated number of live instances.
     std::function<std::size_t()> instances;
     /// Starts or stops reading the store.
@@ -55,8 +58,8 @@
     /// Begins to decide.
     void start();
 
-    /// A reader said that the store has answered it, or that it has not. `age` is how long ago.
-    void heard_reader(const std::string& reader, bool reached, duration age);
+    /// A reader said how it fares. `age` is how long ago.
+    void heard_reader(const std::string& reader, reader_state state, duration age);
 
     /// A call of this instance was answered, or failed.
     void own_call(bool reached);
@@ -86,9 +89,11 @@
     {
         std::optional<time_point> reached;
         std::optional<time_point> failed;
+        /// Its first call was under way.
+        std::optional<time_point> asking;
     };
 
-    void note(const std::string& name, bool reached, time_point at);
+    void note(const std::string& name, reader_state state, time_point at);
     void evaluate();
     void plan(need wanted);
     void volunteer();
@@ -98,6 +103,7 @@
     [[nodiscard]] bool is_superfluous() const;
     [[nodiscard]] need current_need() const;
     [[nodiscard]] std::size_t failing_readers() const;
+    [[nodiscard]] std::size_t asking_readers() const;
     [[nodiscard]] bool is_recent(const std::optional<time_point>& when) const;
     [[nodiscard]] duration random_within(duration span);
     /// A delay of at most `span` for which few of many instances draw an early time.
--- a/packages/core/src/news/reader_duty.cpp
+++ b/packages/core/src/news/reader_duty.cpp
@@ -19,6 +19,14 @@
 /// With this many instances failing at the store, its absence is believed to be general.
 constexpr std::size_t enough_failing = 4;
 
+/// With this many instances asking or failing, no further one turns to the store at once. More than
+/// `enough_failing`, because the store may turn away only some: with a third of the instances
+/// turned away, that all of these are is rarer than one in 5000.
+constexpr std::size_t enough_asking = 8;
+
+/// An instance that was asking this long ago has its answer or has given up.
+constexpr duration asking_time = std::chrono::seconds(1);
+
 /// While the store is believed absent, one further instance a second looks for itself, because the
 /// store may turn away only some instances.
 constexpr duration exploration = std::chrono::seconds(1);
@@ -119,32 +127,47 @@
         [this](const auto& each) { return is_recent(each.second.failed); }));
 }
 
-void reader_duty::heard_reader(const std::string& reader, bool reached, duration age)
+std::size_t reader_duty::asking_readers() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        readers_.begin(), readers_.end(),
+        [this](const auto& each)
+        {
+            const auto& asking = each.second.asking;
+            return asking && options_.timers->now() - *asking < asking_time;
+        }));
+}
+
+void reader_duty::heard_reader(const std::string& reader, reader_state state, duration age)
 {
-    note(reader, reached, options_.timers->now() - age);
+    note(reader, state, options_.timers->now() - age);
 }
 
 void reader_duty::own_call(bool reached)
 {
     if (reading_)
     {
-        note(options_.self, reached, options_.timers->now());
+        note(
+            options_.self, reached ? reader_state::reached : reader_state::failed,
+            options_.timers->now());
     }
 }
 
-void reader_duty::note(const std::string& name, bool reached, time_point at)
+void reader_duty::note(const std::string& name, reader_state state, time_point at)
 {
     reader& noted = readers_[name];
-    if (reached)
+    switch (state)
     {
-        noted.reached = std::max(noted.reached.value_or(at), at);
-        noted.failed.reset();
+    case reader_state::reached:
+        noted = {.reached = std::max(noted.reached.value_or(at), at), .failed = {}, .asking = {}};
         last_reached_ = std::max(last_reached_.value_or(at), at);
-    }
-    else
-    {
-        noted.failed = at;
-        noted.reached.reset();
+        break;
+    case reader_state::failed:
+        noted = {.reached = {}, .failed = at, .asking = {}};
+        break;
+    case reader_state::asking:
+        noted.asking = at;
+        break;
     }
     if (!std::exchange(was_fresh_, is_fresh()) && was_fresh_ && options_.fresh_again)
     {
@@ -161,8 +184,9 @@
         [&](const auto& each)
         {
             const time_point last = std::max(
-                each.second.reached.value_or(time_point{}),
-                each.second.failed.value_or(time_point{}));
+                {each.second.reached.value_or(time_point{}),
+                 each.second.failed.value_or(time_point{}),
+                 each.second.asking.value_or(time_point{})});
             return now - last > memory;
         });
     was_fresh_ = is_fresh();
@@ -211,7 +235,10 @@
 {
     if (!is_fresh())
     {
-        return failing_readers() >= enough_failing ? need::another_try : need::news;
+        const std::size_t failing = failing_readers();
+        return failing >= enough_failing || failing + asking_readers() >= enough_asking
+                   ? need::another_try
+                   : need::news;
     }
     return fresh_readers() < options_.wanted_readers && options_.instances() > 1
                ? need::second_reader
@@ -266,6 +293,10 @@
     reading_ = reading;
     reading_since_ = options_.timers->now();
     readers_.erase(options_.self);
+    if (reading)
+    {
+        readers_[options_.self].asking = reading_since_;
+    }
     planned_ = need::none;
     options_.timers->cancel(std::exchange(volunteer_timer_, 0));
     options_.read(reading);
--- a/packages/core/tests/news/reader_duty_test.cpp
+++ b/packages/core/tests/news/reader_duty_test.cpp
@@ -87,6 +87,8 @@
     /// Instances that the store turns away.
     std::set<std::string> refused;
     bool store_down = false;
+    /// Calls are not answered at all.
+    bool store_silent = false;
     int calls = 0;
     /// Longest time without a reader's word at any living instance.
     duration worst_age{};
@@ -105,6 +107,7 @@
         self.next_call = 0;
         if (reading)
         {
+            tell(self, reader_state::asking);
             self.next_call = timers.schedule_after(5ms, [this, &self] { call(self); });
         }
     }
@@ -116,12 +119,28 @@
             return;
         }
         ++calls;
-        const bool reached = !store_down && !refused.contains(self.name);
-        self.next_call = timers.schedule_after(700ms, [this, &self] { call(self); });
+        if (store_silent)
+        {
+            // The call fails when its time is over.
+            self.next_call = timers.schedule_after(700ms, [this, &self] { end_call(self, false); });
+            return;
+        }
+        end_call(self, !store_down && !refused.contains(self.name));
+    }
+
+    void end_call(member& self, bool reached)
+    {
+        self.next_call =
+            timers.schedule_after(store_silent ? 20ms : 700ms, [this, &self] { call(self); });
         self.duty->own_call(reached);
+        tell(self, reached ? reader_state::reached : reader_state::failed);
+    }
+
+    void tell(const member& self, reader_state state)
+    {
         timers.schedule_after(
             15ms,
-            [this, name = self.name, reached]
+            [this, name = self.name, state]
             {
                 for (const auto& each : members_)
                 {
@@ -129,7 +148,7 @@
                                        !alone.contains(each->name) && !alone.contains(name);
                     if (hears)
                     {
-                        each->duty->heard_reader(name, reached, 15ms);
+                        each->duty->heard_reader(name, state, 15ms);
                     }
                 }
             });
@@ -256,6 +275,29 @@
     }
 }
 
+// Guards against a fleet that turns to a silent store as a whole: nobody hears that a call failed
+// before its time is over, and by then all had asked.
+TEST_CASE("few instances ask a store that falls silent, and its return is noticed")
+{
+    const std::size_t size = GENERATE(13, 120);
+    fleet all(size);
+    all.run(10s);
+    all.store_silent = true;
+    const int before = all.calls;
+    all.run(3s);
+    INFO(all.calls - before << " calls");
+    CHECK(all.calls - before <= 40);
+    all.run(5s);
+    all.store_silent = false;
+    all.run(1s);
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        CHECK(all.is_fresh("i" + std::to_string(index)));
+    }
+    all.run(10s);
+    CHECK(all.readers().size() == 2);
+}
+
 // Guards against a fleet that multiplies its calls while the store is down, and against one that
 // does not notice its return.
 TEST_CASE("few instances ask an absent store and its return is noticed")
--- a/packages/entry/include/catkintally/entry/news/news_exchange.hpp
+++ b/packages/entry/include/catkintally/entry/news/news_exchange.hpp
@@ -36,7 +36,8 @@
     /// What is known, by prefix.
     std::function<std::map<std::string, object_state>()> states;
     /// A reader's word, with its age. Not called while news that the reader has are missing here.
-    std::function<void(const std::string& reader, bool reached, core::duration age)> heard_reader;
+    std::function<void(const std::string& reader, wire::reader_state state, core::duration age)>
+        heard_reader;
 };
 
 /// Passes news of the store between instances. Each instance has links to a few others, chosen at
@@ -57,8 +58,8 @@
     /// Passes on changes that this instance has read from the store.
     void tell_update(const object_update& update);
 
-    /// Passes on whether the store has answered this instance.
-    void tell_call(bool reached);
+    /// Passes on how this instance fares at the store.
+    void tell_reader_state(wire::reader_state state);
 
     /// Estimated number of live instances, this one included.
     [[nodiscard]] std::size_t instances() const { return book_.instances(); }
@@ -87,7 +88,7 @@
         const core::member_id& from,
         const std::vector<std::unique_ptr<wire::news_state_data>>& known);
     void pull(const core::member_id& from, const std::string& prefix);
-    [[nodiscard]] wire::payloadUnion word(bool reached);
+    [[nodiscard]] wire::payloadUnion word(wire::reader_state state);
     [[nodiscard]] wire::payloadUnion greeting();
     void exchange_peers();
 
--- a/packages/entry/src/news/news_exchange.cpp
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -178,12 +178,12 @@
     network_.send_to_all(greeting(), {});
 }
 
-wire::payloadUnion news_exchange::word(bool reached)
+wire::payloadUnion news_exchange::word(wire::reader_state state)
 {
     wire::reader_word_data data;
     data.reader = core::to_text(options_.self.id);
     data.sequence = ++sequence_;
-    data.reached = reached;
+    data.state = state;
     for (const auto& [prefix, state] : options_.states())
     {
         auto known = std::make_unique<wire::news_state_data>();
@@ -195,15 +195,15 @@
     return wire::make_message(std::move(data));
 }
 
-void news_exchange::tell_call(bool reached)
+void news_exchange::tell_reader_state(wire::reader_state state)
 {
-    network_.send_to_all(word(reached), {});
+    network_.send_to_all(word(state), {});
 }
 
 wire::payloadUnion news_exchange::greeting()
 {
     // Says what is known here, without a claim about the store.
-    wire::payloadUnion message = word(false);
+    wire::payloadUnion message = word(wire::reader_state::failed);
     message.Asreader_word()->reader.clear();
     return message;
 }
@@ -318,7 +318,7 @@
     }
     readers_[name] = {.sequence = message.sequence, .heard = options_.timers->now()};
     network_.send_to_all(wire::make_message(wire::reader_word_data(message)), from.id);
-    options_.heard_reader(name, message.reached, milliseconds(message.age_ms));
+    options_.heard_reader(name, message.state, milliseconds(message.age_ms));
 }
 
 void news_exchange::on_sample(const wire::peer_sample_data& message)
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -124,7 +124,8 @@
         .called =
             [this](bool reached)
         {
-            news_->tell_call(reached);
+            news_->tell_reader_state(
+                reached ? wire::reader_state::reached : wire::reader_state::failed);
             duty_->own_call(reached);
         }});
 }
@@ -141,7 +142,15 @@
         .seed = random_number(),
         .start_spread = milliseconds(settings_.peers.start_spread_ms),
         .instances = [this] { return news_->instances(); },
-        .read = [this](bool reading) { follower_->set_reading(reading); },
+        .read =
+            [this](bool reading)
+        {
+            if (reading)
+            {
+                news_->tell_reader_state(wire::reader_state::asking);
+            }
+            follower_->set_reading(reading);
+        },
         .fresh_again = [this] { follower_->note_regained(); }});
     news_ = std::make_unique<news_exchange>(news_exchange_options{
         .loop = &loop_,
@@ -154,8 +163,9 @@
         .offer = [this](const object_update& update) { return follower_->offer(update); },
         .whole = [this](const std::string& prefix) { return follower_->whole(prefix); },
         .states = [this] { return follower_->states(); },
-        .heard_reader = [this](const std::string& reader, bool reached, core::duration age)
-        { duty_->heard_reader(reader, reached, age); }});
+        .heard_reader =
+            [this](const std::string& reader, wire::reader_state state, core::duration age)
+        { duty_->heard_reader(reader, state, age); }});
 }
 
 core::probing_gateway_options probing_process::gateway_options()
--- a/packages/entry/tests/news/news_exchange_test.cpp
+++ b/packages/entry/tests/news/news_exchange_test.cpp
@@ -48,8 +48,9 @@
                                    {"k/", {.version = known->version, .digest = known->digest}}}
                              : std::map<std::string, object_state>{};
                 },
-                .heard_reader = [this](const std::string& reader, bool reached, core::duration)
-                { words.push_back(reader + (reached ? " reached" : " failed")); }});
+                .heard_reader =
+                    [this](const std::string& reader, wire::reader_state state, core::duration)
+                { words.push_back(reader + ' ' + wire::EnumNamereader_state(state)); }});
         REQUIRE(exchange->start());
     }
 
@@ -141,13 +142,16 @@
         reader.learn_from_store(version);
     }
     REQUIRE(fixture.all_know(9));
-    reader.exchange->tell_call(true);
-    reader.exchange->tell_call(false);
+    for (const auto state :
+         {wire::reader_state::asking, wire::reader_state::reached, wire::reader_state::failed})
+    {
+        reader.exchange->tell_reader_state(state);
+    }
     REQUIRE(fixture.reach([&](const news_instance& each)
-                          { return &each == &reader || each.words.size() == 2; }));
+                          { return &each == &reader || each.words.size() == 3; }));
     for (const auto& each : fixture.instances)
     {
-        const std::vector<std::string> expected = {"i5#1 reached", "i5#1 failed"};
+        const std::vector<std::string> expected = {"i5#1 asking", "i5#1 reached", "i5#1 failed"};
         CHECK((each.get() == &reader ? each->words.empty() : each->words == expected));
     }
 }
@@ -189,6 +193,6 @@
     CHECK(fixture.all_know(6));
     reader.known->version = 8;
     reader.known->digest = 8;
-    reader.exchange->tell_call(true);
+    reader.exchange->tell_reader_state(wire::reader_state::reached);
     CHECK(fixture.all_know(8));
 }
