Add a fault soak of real processes

Five instances in probing mode, the store's stand-in, 15 targets and 24 callers on loopback. Faults come in overlapping series from a seed: kills, pauses, planned stops, SIGHUP, a proxy that delays, resets, silences or cuts the links to store and targets one way, store outages, lost answers and lost history, targets that crash, go dark, shed, lose or repeat answers, drain and return cold, evacuations and configurations.

--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,112 @@
+"""Callers that keep connections open, retry as the platform's callers do, and compare answers."""
+import asyncio
+import time
+
+from . import http_text
+from .checks import PROMISES, Request
+from .targets import body_of
+
+DEADLINE_S = 1.5
+RETRIES = 2
+# Pause between two requests of one caller, as a mean rate.
+REQUESTS_PER_S = 6.0
+# A caller waits for a connection at most this long.
+CONNECT_S = 1.0
+
+
+class Caller:
+    """One caller: sends a request, waits for its end, pauses, and so on."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.number = number
+        self.sent = 0
+        self.connection = None
+        self.instance = None
+
+    async def run(self):
+        """Sends requests until it is cancelled."""
+        try:
+            while True:
+                await self.one_request()
+                await asyncio.sleep(self.world.random.expovariate(REQUESTS_PER_S))
+        finally:
+            await self.close()
+
+    async def close(self):
+        if self.connection is not None:
+            self.connection[1].close()
+            self.connection = None
+
+    async def one_request(self):
+        kind = self.world.random.random()
+        path, method, safe, service, body = (
+            ("/l/", "GET", True, "lookup", b"") if kind < 0.6 else
+            ("/o/", "POST", False, "order", b"x" * self.world.random.randint(1, 3000)))
+        if kind > 0.9:
+            path, method, safe, service, body = self.world.newest_route(), "GET", True, "lookup", b""
+        path += f"{self.number}-{self.sent}"
+        deadline = time.monotonic() + DEADLINE_S
+        for _ in range(RETRIES + 1):
+            outcome, wait = await self.attempt(method, path, body, safe, service, deadline)
+            again = outcome in PROMISES or outcome == "unread" or (safe and outcome != 404)
+            if outcome == 200 or not again:
+                return
+            await self.close()
+            left = deadline - time.monotonic()
+            await asyncio.sleep(min(wait, max(0.0, left / 3)))
+            if time.monotonic() >= deadline:
+                return
+
+    async def connect(self):
+        if self.connection is not None and self.connection[0].at_eof():
+            await self.close()
+        if self.connection is not None:
+            return True
+        self.instance = self.world.choose_instance()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                self.connection = await asyncio.open_connection(
+                    "127.0.0.1", self.instance.front_port)
+            return True
+        except OSError:
+            return False
+
+    async def attempt(self, method, path, body, safe, service, deadline):
+        """Status of one attempt, or "unread" or "cut", and the advised wait in seconds."""
+        if not await self.connect():
+            return "unread", 0.05
+        self.sent += 1
+        now = time.monotonic()
+        request = Request(f"{self.world.seed:04x}{self.number:04x}{self.sent:08x}",
+                          self.instance.run_name, method, path, body, safe, service, now)
+        checks = self.world.checks
+        checks.sent(request)
+        reader, writer = self.connection
+        try:
+            writer.write(http_text.message(
+                f"{method} {path} HTTP/1.1",
+                {"Host": "soak.example", "X-Catkintally-Attempt-Id": request.request,
+                 "X-Catkintally-Deadline-Ms": str(max(1, int((deadline - now) * 1000)))}, body))
+            async with asyncio.timeout(max(0.05, deadline - now + 0.5)):
+                head = await http_text.read_head(reader)
+                if head is None:
+                    raise ConnectionError("closed")
+                answer = await http_text.read_body(reader, head[1])
+        except TimeoutError:
+            await self.close()
+            return "cut", 0.0
+        except (OSError, asyncio.IncompleteReadError):
+            await self.close()
+            # An idle connection may end just as the request is sent; a run shows it was read.
+            if request.request in checks.reached:
+                checks.cut(request, self.instance.stopping, time.monotonic())
+            return "cut", 0.0
+        line, fields = head
+        status = int(line.split()[1])
+        expected = [body_of(name, path, body) for name in service.split("|")]
+        checks.answered(request, status, time.monotonic(),
+                        fields.get("x-catkintally-upstream-signature"), answer, expected)
+        if fields.get("connection", "").lower() == "close":
+            await self.close()
+        return status, float(fields.get("retry-after", "0"))
--- /dev/null
+++ b/tools/soak/checks.py
@@ -0,0 +1,164 @@
+"""The promises that a soak checks, from what callers and targets see. Times are of one steady clock."""
+import collections
+
+PROMISES = (408, 421, 429, 503)
+# Bounds of the platform's pages; the soak passes the same ones to the instances.
+DRAIN_S = 2.0
+EVACUATION_S = 5.0
+CONFIGURATION_S = 2.0
+CONTACT_S = 3.0
+RETRY_WINDOW_S = 10.0
+RETRY_RATIO = 0.2
+RETRY_SLACK = 56
+WARMUP_PER_S = 4.0
+COLD_BOUND = WARMUP_PER_S * 1.5 + 5
+SERVED_SHARE = 0.95
+
+
+class Request:
+    """One attempt of a caller."""
+
+    def __init__(self, request, instance, method, path, body, safe, service, sent_at):
+        self.request = request
+        self.instance = instance
+        self.method = method
+        self.path = path
+        self.body = body
+        self.safe = safe
+        # Services at which the routes in force may let it run, all versions included.
+        self.service = service
+        self.sent_at = sent_at
+        self.runs = 0
+        self.promised = False
+        self.status = None
+
+
+class Checks:
+    """Collects violations while a soak runs. `settled_since` tells since when neither the store nor
+    an instance was disturbed; rules with a time bound hold for instances in touch only."""
+
+    def __init__(self, settled_since=lambda: 0.0, cold=lambda target, now: False):
+        self.settled_since = settled_since
+        self.cold = cold
+        self.violations = []
+        self.requests = {}
+        self.drained = {}
+        self.evacuated = {}
+        self.routes_since = {}
+        self.routes_seen = set()
+        self.arrivals = collections.defaultdict(list)
+        self.firsts = collections.defaultdict(list)
+        self.reached = set()
+        self.cold_arrivals = collections.defaultdict(collections.deque)
+
+    def broken(self, rule, detail):
+        self.violations.append((rule, detail))
+
+    # What callers see.
+
+    def sent(self, request):
+        self.requests[request.request] = request
+        self.firsts[request.service].append(request.sent_at)
+
+    def answered(self, request, status, now, signature=None, body=b"", expected=()):
+        request.status = status
+        if status in PROMISES:
+            request.promised = True
+            if not request.safe and request.runs:
+                self.broken("refused", f"{request.request} got {status} and has run")
+        if 200 <= status < 300:
+            if signature is None:
+                self.broken("mixed", f"{request.request} got {status} that no target gave")
+            elif body not in expected:
+                self.broken("mixed", f"{request.request} got another body")
+        self.check_route(request, status, now)
+
+    def check_route(self, request, status, now):
+        """A route that was added is found two seconds later, and for good once it was found."""
+        since = self.routes_since.get(request.path.split("/")[1])
+        if since is None:
+            return
+        seen = (request.instance, request.path.split("/")[1])
+        if 200 <= status < 300:
+            self.routes_seen.add(seen)
+        elif status == 404 and seen in self.routes_seen:
+            self.broken("regress", f"{request.instance} forgot the route of {request.path}")
+        elif status == 404 and self.in_force(since, request.sent_at, CONFIGURATION_S):
+            self.broken("config", f"{request.instance} does not know {request.path} "
+                                  f"{request.sent_at - since:.1f} s after its acknowledgement")
+
+    def cut(self, request, stopping, now):
+        """A whole request was read and its connection ended without an answer."""
+        if stopping and request.sent_at - self.settled_since() >= CONTACT_S:
+            self.broken("lost", f"{request.request} was cut by the planned stop of "
+                                f"{request.instance}")
+
+    # What targets see.
+
+    def arrived(self, target, request, now):
+        self.arrivals[target.service].append((now, request in self.reached))
+        self.reached.add(request)
+        since = self.drained.get(target.name)
+        if since is not None and self.in_force(since, now, DRAIN_S):
+            self.broken("drain", f"{request} reached {target.name} {now - since:.1f} s after it "
+                                 "drained")
+        since = self.evacuated.get(target.domain)
+        if since is not None and self.in_force(since, now, EVACUATION_S):
+            self.broken("evacuation", f"{request} reached {target.domain} {now - since:.1f} s "
+                                      "after it was taken out")
+        if self.cold(target, now):
+            recent = self.cold_arrivals[target.name]
+            recent.append(now)
+            while recent[0] <= now - 1.0:
+                recent.popleft()
+            if len(recent) > COLD_BOUND:
+                self.broken("cold", f"{target.name} got {len(recent)} requests in a second")
+
+    def ran(self, target, request, method, path, body):
+        known = self.requests.get(request)
+        if known is None:
+            self.broken("unasked", f"{target.name} ran {request}, which nobody sent")
+            return
+        known.runs += 1
+        if (method, path, body) != (known.method, known.path, known.body):
+            self.broken("unasked", f"{request} ran with another method, path or body")
+        if target.service not in known.service.split("|"):
+            self.broken("route", f"{request} ran at {target.service}")
+        if not known.safe and known.runs > 1:
+            self.broken("twice", f"{request} ran {known.runs} times")
+        if not known.safe and known.promised:
+            self.broken("refused", f"{request} runs after its refusal")
+
+    # What operators do.
+
+    def draining(self, target, now):
+        self.drained[target] = now
+
+    def in_force(self, since, now, bound):
+        """The bound has passed, and the instances were in touch all the while."""
+        return now - since > bound and since - self.settled_since() >= CONTACT_S
+
+    # At the end.
+
+    def finish(self, calm_from):
+        """Checks that need the whole run. Requests sent after `calm_from` must be served."""
+        for service, arrivals in self.arrivals.items():
+            firsts = [at for name, times in self.firsts.items() if service in name.split("|")
+                      for at in times]
+            self.check_retries(service, arrivals, firsts)
+        calm = [each for each in self.requests.values() if each.sent_at >= calm_from]
+        served = sum(each.status is not None and 200 <= each.status < 300 for each in calm)
+        if served < SERVED_SHARE * len(calm):
+            self.broken("recover", f"{served} of {len(calm)} requests served after the faults")
+
+    def check_retries(self, service, arrivals, firsts):
+        repeats = [at for at, repeated in arrivals if repeated]
+        for end in repeats:
+            begin = end - RETRY_WINDOW_S
+            count = sum(begin < at <= end for at in repeats)
+            requests = max(
+                sum(begin - shift < at <= end - shift for at in firsts)
+                for shift in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S))
+            if count > RETRY_RATIO * requests + RETRY_SLACK:
+                self.broken("retries", f"{service} got {count} repeats for {requests} requests")
+                return
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,145 @@
+"""The faults of a soak. Each is a coroutine that disturbs the world and puts it right again."""
+import asyncio
+import signal
+import time
+
+
+async def instance_killed(world, pick):
+    instance = pick.choice(world.instances)
+    async with world.holding(instance):
+        instance.kill()
+        await asyncio.sleep(pick.uniform(0.1, 1.5))
+        instance.start()
+
+
+async def herd_killed(world, pick):
+    herd = pick.sample(world.instances, len(world.instances) - pick.randint(0, 1))
+    for instance in herd:
+        async with world.holding(instance):
+            instance.kill()
+    await asyncio.sleep(pick.uniform(0.1, 1.0))
+    for instance in herd:
+        async with world.holding(instance):
+            if instance.ended:
+                instance.start()
+
+
+async def instance_paused(world, pick):
+    instance = pick.choice(world.instances)
+    async with world.holding(instance):
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(pick.uniform(0.2, 4.0))
+        instance.signal(signal.SIGCONT)
+
+
+async def instance_restarted(world, pick):
+    instance = pick.choice(world.instances)
+    async with world.holding(instance):
+        await instance.stop()
+        instance.start()
+
+
+async def settings_reloaded(world, pick):
+    pick.choice(world.instances).signal(signal.SIGHUP)
+
+
+async def store_link_harmed(world, pick):
+    """One instance, or a few, reach the store badly or not at all."""
+    proxies = [each.store_proxy for each in
+               pick.sample(world.instances, pick.randint(1, len(world.instances) - 1))]
+    await harm(proxies, pick)
+
+
+async def target_link_harmed(world, pick):
+    await harm([pick.choice(world.targets).proxy], pick)
+
+
+async def harm(proxies, pick):
+    mode = pick.choice(("delay", "silent", "no_requests", "no_answers", "refuse", "reset"))
+    span = pick.uniform(0.3, 4.0)
+    for proxy in proxies:
+        if mode in ("reset", "refuse"):
+            proxy.reset_open()
+        if mode != "reset":
+            proxy.mode = mode
+            proxy.delay = pick.uniform(0.05, 0.8)
+    await asyncio.sleep(span)
+    for proxy in proxies:
+        if proxy.mode == mode:
+            proxy.mode = "ok"
+            # What was held back is lost, so these connections can't go on.
+            proxy.reset_open()
+
+
+async def store_fails(world, pick):
+    switch = pick.choice(({"outage": True}, {"silent": True}, {"slow_ms": 600},
+                          {"lose_answer_percent": 40}))
+    await world.control(**switch)
+    await asyncio.sleep(pick.uniform(0.5, 5.0))
+    await world.control(**{name: False if value is True else 0 for name, value in switch.items()})
+
+
+async def store_forgets(world, pick):
+    await world.control(forget_history=True)
+
+
+async def target_crashes(world, pick):
+    target = pick.choice(world.targets)
+    async with world.holding(target):
+        if target.up:
+            target.crash()
+            await asyncio.sleep(pick.uniform(0.2, 3.0))
+            await target.remove()
+            await target.start(cold_s=3.0)
+
+
+async def target_goes_dark(world, pick):
+    target = pick.choice(world.targets)
+    async with world.holding(target):
+        target.proxy.mode = "silent"
+        await asyncio.sleep(pick.uniform(0.5, 3.0))
+        target.proxy.mode = "ok"
+        target.proxy.reset_open()
+
+
+async def target_misbehaves(world, pick):
+    target = pick.choice(world.targets)
+    name, value = pick.choice((("slowdown", 6.0), ("shed", 0.5), ("lose", 0.3), ("surplus", 0.3)))
+    usual = {"slowdown": 1.0}.get(name, 0.0)
+    setattr(target, name, value)
+    await asyncio.sleep(pick.uniform(0.5, 4.0))
+    setattr(target, name, usual)
+
+
+async def target_replaced(world, pick):
+    """A planned departure; its successor starts cold at the same address."""
+    target = pick.choice(world.targets)
+    async with world.holding(target):
+        if target.up:
+            await target.leave()
+            await target.start(cold_s=3.0)
+
+
+async def domain_evacuated(world, pick):
+    domain = pick.choice(world.domains)
+    if world.checks.evacuated:
+        return
+    if (await world.store("evacuations", domain, {}))[0] in (200, 201):
+        world.checks.evacuated[domain] = time.monotonic()
+        await asyncio.sleep(pick.uniform(1.0, 8.0))
+        # The callers' requests under way may still arrive, so the bound ends before the recall.
+        del world.checks.evacuated[domain]
+        while (await world.remove("evacuations", domain))[0] not in (200, 404):
+            await asyncio.sleep(0.1)
+
+
+async def configuration_changes(world, pick):
+    await world.configure()
+
+
+PLANNED = (instance_restarted, settings_reloaded, target_replaced, domain_evacuated,
+           configuration_changes)
+# Those after which instances count as disturbed until some time later.
+DISTURBING = (instance_killed, herd_killed, instance_paused, store_link_harmed, store_fails,
+              store_forgets)
+UNPLANNED = DISTURBING + (target_link_harmed, target_crashes, target_goes_dark, target_misbehaves)
--- /dev/null
+++ b/tools/soak/instances.py
@@ -0,0 +1,127 @@
+"""Instances as processes, started, stopped, paused and killed by signals."""
+import asyncio
+import os
+import signal
+import subprocess
+import time
+from pathlib import Path
+
+from . import checks, http_text
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+BIN = Path(os.environ.get("CATKINTALLY_BUILD_DIR", ROOT / "build")).resolve() / "bin"
+# After SIGTERM the platform waits this long before it kills.
+GRACE_S = 6.0
+BOUNDS = (f"drain-timeout-ms={int(checks.DRAIN_S * 1000)},retry-budget-ratio={checks.RETRY_RATIO},"
+          f"retry-window-s={int(checks.RETRY_WINDOW_S)},budget-slack={checks.RETRY_SLACK}")
+
+
+def spawn(log_path, *command):
+    """Starts one process with its output in a file."""
+    with open(log_path, "ab") as log:
+        return subprocess.Popen([str(part) for part in command], stdout=log, stderr=log,
+                                stdin=subprocess.DEVNULL)
+
+
+class Instance:
+    """One place at which runs of an instance follow each other."""
+
+    def __init__(self, world, number, base_port, domain):
+        self.world = world
+        self.name = f"i{number}"
+        self.domain = domain
+        self.front_port, self.peer_port, self.admin_port, self.health_port = (
+            base_port + number * 4 + offset for offset in range(4))
+        self.store_proxy = None
+        self.process = None
+        self.runs = 0
+        # A planned stop is under way.
+        self.stopping = False
+        # The soak itself has ended the process.
+        self.ended = False
+        self.ready = False
+
+    @property
+    def run_name(self):
+        return f"{self.name}#{self.runs}"
+
+    def settings(self):
+        seeds = ",".join(f"127.0.0.1:{each.peer_port}" for each in self.world.instances[:3])
+        return f"""[instance]
+id = {self.name}
+failure_domain = {self.domain}
+[callers]
+address = 127.0.0.1:{self.front_port}
+deadline_header = X-Catkintally-Deadline-Ms
+[targets]
+connections = 8
+connect_time_ms = 300
+idle_time_ms = 9000
+unacknowledged_time_ms = 1500
+[peers]
+address = 127.0.0.1:{self.peer_port}
+seeds = {seeds}
+[admin]
+address = 127.0.0.1:{self.admin_port}
+health_addresses = 127.0.0.1:{self.health_port}
+health_path = /v1/readyz
+[platform]
+addresses = 127.0.0.1:{self.store_proxy.port}
+configuration = objects
+watch_time_ms = 1000
+call_time_ms = 700
+limits = {BOUNDS}
+[stop]
+drain_ms = 2700
+stop_limit_ms = 1000
+[admission]
+mode = probing
+"""
+
+    def start(self):
+        self.runs += 1
+        self.stopping = self.ended = False
+        path = self.world.directory / f"{self.name}.ini"
+        path.write_text(self.settings())
+        self.process = spawn(self.world.directory / f"{self.name}.log", BIN / "catkintally",
+                             "--config", path)
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self):
+        self.ended = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    async def stop(self):
+        """A planned stop: SIGTERM, and SIGKILL for what does not end in time."""
+        self.stopping = self.ended = True
+        self.signal(signal.SIGTERM)
+        end = time.monotonic() + GRACE_S
+        while self.process.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if self.process.poll() is None:
+            self.world.checks.broken("exit", f"{self.run_name} did not end within {GRACE_S} s")
+            self.kill()
+        elif self.process.returncode != 0:
+            self.world.checks.broken(
+                "exit", f"{self.run_name} ended with {self.process.returncode} after SIGTERM")
+
+    def check_alive(self):
+        if not self.ended and self.process.poll() is not None:
+            self.world.checks.broken(
+                "exit", f"{self.run_name} ended by itself with {self.process.returncode}")
+            self.start()
+
+    async def watch_health(self):
+        """As the platform's balancer does: two misses in a row take the instance out."""
+        misses = 0
+        while True:
+            status, _ = await http_text.call(self.health_port, "GET", "/v1/readyz", timeout=0.5)
+            misses = 0 if status == 200 else misses + 1
+            if misses == 0 or misses >= 2:
+                self.ready = misses == 0
+            await asyncio.sleep(0.5)
--- /dev/null
+++ b/tools/soak/soak.py
@@ -0,0 +1,257 @@
+"""Fault soak: instances, store and callers on loopback, with seeded faults from outside.
+
+Usage: ./run soak [--seeds N] [--seed FIRST] [--jobs N] [--short]
+Exit code 0 if every seed kept every promise. Logs of failed seeds are kept.
+"""
+import argparse
+import asyncio
+import contextlib
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from . import faults, http_text, instances
+from .callers import Caller
+from .checks import WARMUP_PER_S, Checks
+from .proxy import Proxy
+from .targets import Target
+
+DOMAINS = ("a", "b", "c")
+CALLERS = 24
+BASE_PORT = 13000
+PORTS_PER_JOB = 100
+# Phases: start, faults, planned work on a calm system, end. In seconds.
+PHASES = {False: (2.0, 14.0, 9.0), True: (1.0, 5.0, 6.0)}
+# After the last fault, before promises of a calm system are judged.
+SETTLE_S = 5.0
+
+
+class World:
+    """One seed: everything that runs, and how it is disturbed."""
+
+    def __init__(self, seed, slot, directory):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.directory = directory
+        self.domains = DOMAINS
+        base = BASE_PORT + slot * PORTS_PER_JOB
+        self.store_port = base
+        self.instances = [
+            instances.Instance(self, number, base + 10, DOMAINS[number % 3]) for number in range(5)]
+        self.targets = [
+            Target(self, number, "lookup" if number < 9 else "order", DOMAINS[number % 3])
+            for number in range(15)]
+        self.settled_since = time.monotonic()
+        self.disturbances = 0
+        self.checks = Checks(
+            settled_since=lambda: time.monotonic() if self.disturbances else self.settled_since,
+            cold=lambda target, now: now < target.cold_until)
+        self.locks = {}
+        self.version = 0
+        self.store_process = None
+
+    def chance(self, share):
+        return share > 0 and self.random.random() < share
+
+    @contextlib.asynccontextmanager
+    async def holding(self, thing):
+        """Faults of the same instance or target take turns."""
+        async with self.locks.setdefault(thing, asyncio.Lock()):
+            yield
+
+    async def store(self, kind, name, spec):
+        """Writes an object as an operator or a target does, past all proxies."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        status, _ = await http_text.call(self.store_port, "PUT", f"/v1/objects/{kind}/{name}", body)
+        if status == 404:
+            status, _ = await http_text.call(self.store_port, "POST", f"/v1/objects/{kind}", body)
+        return status, None
+
+    async def remove(self, kind, name):
+        return await http_text.call(self.store_port, "DELETE", f"/v1/objects/{kind}/{name}")
+
+    async def control(self, **switches):
+        await http_text.call(self.store_port, "POST", "/control", switches)
+
+    def newest_route(self):
+        return f"/v{self.version}/" if self.version else "/l/"
+
+    async def configure(self):
+        """Writes a configuration with one more route; known to callers once it is accepted."""
+        version = self.version + 1
+
+        def rule(name, prefix, kind, service, objective):
+            return {"name": name, "route-type": kind, "target-latency-ms": objective,
+                    "priority": 1, "match": {"path-prefix": prefix},
+                    "action": {"service": service, "timeout-ms": 1200, "max-attempts": 3}}
+
+        rules = [rule("lookups", "/l/", "safe", "lookup", 200),
+                 rule("orders", "/o/", "unsafe", "order", 300)]
+        rules += [rule(f"v{each}", f"/v{each}/", "safe", "lookup", 200)
+                  for each in range(1, version + 1)]
+        clusters = [{"name": name, "health-path": "/healthz", "max-connections": 200,
+                     "warmup-s": 3.0, "warmup-per-s": WARMUP_PER_S} for name in ("lookup", "order")]
+        status, _ = await self.store("config", "main", {
+            "version": f"{version:08x}",
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576,
+                       "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+            "listeners": [{"host": "soak.example", "rules": rules}], "clusters": clusters})
+        if status in (200, 201):
+            self.version = version
+            self.checks.routes_since[f"v{version}"] = time.monotonic()
+        return status
+
+    def choose_instance(self):
+        ready = [each for each in self.instances if each.ready]
+        return self.random.choice(ready or self.instances)
+
+    async def start(self):
+        self.store_process = instances.spawn(
+            self.directory / "store.log", instances.BIN / "platform_stand_in",
+            f"--port={self.store_port}", f"--seed={self.seed}")
+        while (await http_text.call(self.store_port, "GET", "/control"))[0] != 200:
+            await asyncio.sleep(0.05)
+        await self.configure()
+        await asyncio.gather(*(target.start() for target in self.targets))
+        for instance in self.instances:
+            instance.store_proxy = Proxy(self.store_port)
+            await instance.store_proxy.start()
+        for instance in self.instances:
+            instance.start()
+
+    async def disturb(self, fault):
+        """Runs one fault, and marks the instances as disturbed while it lasts."""
+        disturbing = fault in faults.DISTURBING
+        self.disturbances += disturbing
+        try:
+            await fault(self, self.random)
+        finally:
+            self.disturbances -= disturbing
+            if disturbing:
+                self.settled_since = time.monotonic()
+
+    async def fault_series(self, kinds, span, pause):
+        """Faults begin at random times and overlap."""
+        end = time.monotonic() + span
+        running = []
+        while time.monotonic() < end:
+            fault = self.random.choice(kinds)
+            running.append(asyncio.create_task(self.disturb(fault)))
+            self.log(fault.__name__)
+            await asyncio.sleep(self.random.expovariate(1 / pause))
+        await asyncio.gather(*running)
+
+    def log(self, text):
+        with open(self.directory / "faults.log", "a", encoding="utf-8") as log:
+            log.write(f"{time.monotonic():.3f} {text}\n")
+
+    async def keep_alive(self):
+        """Finds instances that end by themselves."""
+        while True:
+            for instance in self.instances:
+                instance.check_alive()
+            await asyncio.sleep(0.1)
+
+    async def run(self, short):
+        start_s, faults_s, calm_s = PHASES[short]
+        await self.start()
+        background = [asyncio.create_task(each.watch_health()) for each in self.instances]
+        while not all(each.ready for each in self.instances):
+            await asyncio.sleep(0.1)
+        callers = [Caller(self, number) for number in range(CALLERS)]
+        calls = [asyncio.create_task(each.run()) for each in callers]
+        background.append(asyncio.create_task(self.keep_alive()))
+        await asyncio.sleep(start_s)
+        await self.fault_series(faults.UNPLANNED + faults.PLANNED, faults_s, 0.5)
+        await asyncio.sleep(SETTLE_S)
+        calm_from = time.monotonic()
+        self.log("calm")
+        await self.fault_series(faults.PLANNED, calm_s, 1.5)
+        await asyncio.sleep(1.0)
+        for each in calls + background:
+            each.cancel()
+        await asyncio.gather(*calls, *background, return_exceptions=True)
+        self.checks.finish(calm_from)
+        await self.close()
+
+    async def close(self):
+        """Closes all connections and waits for the tasks that serve them."""
+        for target in self.targets:
+            target.crash()
+            target.proxy.stop()
+        for instance in self.instances:
+            instance.store_proxy.stop()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        if tasks:
+            await asyncio.wait(tasks, timeout=10.0)
+
+    def stop(self):
+        """Ends every process that this object has started."""
+        for instance in self.instances:
+            if instance.process is not None:
+                instance.kill()
+        if self.store_process is not None:
+            self.store_process.kill()
+            self.store_process.wait()
+
+
+def run_seed(seed, slot, short):
+    """Plays one seed; True if every promise was kept."""
+    directory = Path(tempfile.mkdtemp(prefix=f"catkintally-soak-{seed}-"))
+
+    async def play():
+        world = World(seed, slot, directory)
+        try:
+            await world.run(short)
+        finally:
+            world.stop()
+        return world.checks
+
+    checks = asyncio.run(play())
+    answered = sum(each.status == 200 for each in checks.requests.values())
+    print(f"seed {seed}: {len(checks.requests)} attempts, {answered} answered, "
+          f"{len(checks.violations)} broken promises", flush=True)
+    for rule, detail in checks.violations[:10]:
+        print(f"  {rule}: {detail}")
+    if checks.violations:
+        print(f"  logs are kept in {directory}")
+    else:
+        shutil.rmtree(directory)
+    return not checks.violations
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="./run soak", description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds to play")
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--jobs", type=int, default=1, help="seeds played at the same time")
+    parser.add_argument("--short", action="store_true", help="a short run, as in CI")
+    parser.add_argument("--slot", type=int, default=0, help=argparse.SUPPRESS)
+    given = parser.parse_args()
+    if given.seeds == 1:
+        return 0 if run_seed(given.seed, given.slot, given.short) else 1
+    # One process a seed, so that seeds do not share a loop.
+    waiting = list(range(given.seed, given.seed + given.seeds))
+    running, failed = {}, []
+    while waiting or running:
+        for slot in range(given.jobs):
+            if slot in running and running[slot][1].poll() is not None:
+                seed, process = running.pop(slot)
+                if process.returncode != 0:
+                    failed.append(seed)
+            if slot not in running and waiting:
+                seed = waiting.pop(0)
+                command = [sys.executable, "-m", "tools.soak.soak", f"--seed={seed}",
+                           f"--slot={slot}"] + (["--short"] if given.short else [])
+                running[slot] = (seed, subprocess.Popen(command))
+        time.sleep(0.1)
+    print(f"{given.seeds} seeds, {len(failed)} with a broken promise: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/targets.py
@@ -0,0 +1,170 @@
+"""Targets that run requests, register in the store and misbehave on command."""
+import asyncio
+import hashlib
+import time
+
+from . import http_text
+from .proxy import Proxy, reset
+
+
+def body_of(service, path, request_body):
+    """What a target of `service` answers to a request; callers compare it."""
+    digest = hashlib.sha256(path.encode() + b"|" + request_body).hexdigest()
+    return (service + ":" + digest * 8).encode()
+
+
+class Target:
+    """One place at which incarnations of a target run, behind a proxy of its own."""
+
+    def __init__(self, world, number, service, domain):
+        self.world = world
+        self.number = number
+        self.service = service
+        self.domain = domain
+        self.slots = 2
+        self.service_s = 0.020
+        self.slowdown = 1.0
+        self.shed = 0.0
+        self.lose = 0.0
+        self.surplus = 0.0
+        self.up = False
+        self.writers = set()
+        self.running = 0
+        self.waiting = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.incarnation = 0
+        self.sequence = 0
+        self.state = "ready"
+        self.cold_until = 0.0
+        self.server = None
+        self.proxy = None
+        self.registered = False
+
+    @property
+    def name(self):
+        return f"t{self.number}-{self.incarnation}"
+
+    async def start(self, cold_s=0.0):
+        self.incarnation += 1
+        self.sequence = 0
+        self.state = "ready"
+        self.cold_until = time.monotonic() + cold_s
+        self.free = asyncio.Semaphore(self.slots)
+        self.running = self.waiting = 0
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        if self.proxy is None:
+            self.proxy = Proxy(port)
+            await self.proxy.start()
+        self.proxy.target_port = port
+        self.up = True
+        await self.report()
+
+    async def report(self):
+        """Writes the registration; True once the store has accepted it."""
+        self.sequence += 1
+        left = max(0, int((self.cold_until - time.monotonic()) * 1000))
+        status, _ = await self.world.store(
+            "servers", self.name,
+            {"address": f"127.0.0.1:{self.proxy.port}", "born": self.incarnation,
+             "info": {"service": self.service, "version": "v1", "zone": self.domain,
+                      "concurrency": self.slots},
+             "status": {"state": self.state, "sequence": self.sequence, "warmup-left-ms": left}})
+        self.registered = self.registered or status in (200, 201)
+        return status in (200, 201)
+
+    async def report_until_accepted(self):
+        while self.up and not await self.report():
+            await asyncio.sleep(0.1)
+
+    def crash(self):
+        """Ends at once; connections are reset."""
+        self.up = False
+        self.server.close()
+        for writer in list(self.writers):
+            reset(writer)
+
+    async def remove(self):
+        """Takes the registration of this incarnation back, as the platform does after silence."""
+        name = self.name
+        while (await self.world.remove("servers", name))[0] not in (200, 404):
+            await asyncio.sleep(0.1)
+
+    async def leave(self):
+        """Drains: reports it, serves on for a while, and ends."""
+        self.state = "draining"
+        await self.report_until_accepted()
+        self.world.checks.draining(self.name, time.monotonic())
+        await asyncio.sleep(3.5)
+        if self.up:
+            self.crash()
+            await self.remove()
+
+    def load(self):
+        return f"{self.running},{self.waiting},{self.slots},{int(self.slowdown * 100)}"
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        surplus = b""
+        try:
+            while head := await http_text.read_head(reader):
+                line, fields = head
+                body = await http_text.read_body(reader, fields)
+                # A surplus answer to the last request arrives where the next one is due.
+                writer.write(surplus)
+                surplus = b""
+                method, path, _ = line.split(" ")
+                if path == "/healthz":
+                    writer.write(self.health())
+                else:
+                    answer = await self.answer(method, path, fields, body)
+                    if answer is None:
+                        reset(writer)
+                        return
+                    writer.write(answer)
+                    if self.world.chance(self.surplus):
+                        surplus = answer
+                await writer.drain()
+        except OSError:
+            # The caller of this target went away; what it had running has been recorded.
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def health(self):
+        ready = self.state == "ready"
+        fields = {"X-Catkintally-Instance-Id": self.name,
+                  "X-Catkintally-Upstream-Load": self.load()}
+        left = int((self.cold_until - time.monotonic()) * 1000)
+        if left > 0:
+            fields["X-Catkintally-Warmup-Ms"] = str(left)
+        return http_text.message(
+            "HTTP/1.1 200 OK" if ready else "HTTP/1.1 503 Service Unavailable", fields)
+
+    async def answer(self, method, path, fields, body):
+        """Bytes of the answer; None loses it."""
+        request = fields.get("x-catkintally-attempt-id", "")
+        marks = {"X-Catkintally-Attempt-Id": request, "X-Catkintally-Upstream-Load": self.load()}
+        if fields.get("x-catkintally-expect-instance", self.name) != self.name:
+            return http_text.message("HTTP/1.1 421 Misdirected Request", marks)
+        self.world.checks.arrived(self, request, time.monotonic())
+        if self.waiting >= 4 or self.world.chance(self.shed):
+            marks["X-Catkintally-Not-Executed"] = "1"
+            return http_text.message("HTTP/1.1 503 Service Unavailable", marks)
+        incarnation = self.incarnation
+        self.waiting += 1
+        async with self.free:
+            if incarnation != self.incarnation or not self.up:
+                return None
+            self.waiting -= 1
+            self.running += 1
+            self.world.checks.ran(self, request, method, path, body)
+            await asyncio.sleep(self.service_s * self.slowdown)
+            if incarnation == self.incarnation:
+                self.running -= 1
+        if not self.up or incarnation != self.incarnation or self.world.chance(self.lose):
+            return None
+        marks["X-Catkintally-Upstream-Signature"] = self.name
+        marks["X-Catkintally-Upstream-Load"] = self.load()
+        return http_text.message("HTTP/1.1 200 OK", marks, body_of(self.service, path, body))
