Refuse a request that crashes one target after the other, on every instance

Cause: only owners recognised such a request; in probing mode each attempt of its caller, at whatever instance, crashed up to max-attempts targets. Change: after a lost connection the instance opens a new one; a target that does not accept it has crashed, and the crash goes to all instances (crash_notice, crash_ledger). The third crash in a row refuses the request for a minute. Crashes of requests in flight together count once, and an answer anywhere clears the request everywhere, so that failures of targets for other reasons do not refuse common requests.

--- /dev/null
+++ b/packages/core/include/catkintally/core/admission/crash_ledger.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <catkintally/core/time/timer_service.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace catkintally::core
+{
+
+/// A target crashed while it ran a request.
+struct target_crash
+{
+    /// Identity of the request; see request_fingerprint.
+    std::uint64_t fingerprint = 0;
+    /// Name of the target; a new incarnation has another one.
+    std::string target;
+    time_point sent_at{};
+    time_point crashed_at{};
+};
+
+/// What the instances know together about requests that may crash each target that runs them. A
+/// request is refused for a minute once it has crashed several targets one after the other and no
+/// target has answered it in between: it was sent again each time after the crash before. Requests
+/// that were in flight together when a failure domain lost power count once.
+class crash_ledger
+{
+public:
+    /// Adds a crash that this instance saw or heard of; false if it is known already.
+    bool add(const target_crash& crash, time_point now);
+
+    /// A target answered the request, so it is not the cause. True if it was suspected.
+    bool answered(std::uint64_t fingerprint);
+
+    /// True if the request must be refused.
+    [[nodiscard]] bool refuses(std::uint64_t fingerprint, time_point now) const;
+
+    /// Requests that were in flight at a crash and have not been answered since.
+    [[nodiscard]] std::size_t suspects() const { return records_.size(); }
+
+    /// How long a crash is remembered.
+    static constexpr duration memory = std::chrono::seconds(60);
+
+private:
+    void make_room(time_point now);
+
+    /// By fingerprint, in order of the crashes.
+    std::map<std::uint64_t, std::vector<target_crash>> records_;
+};
+
+} // namespace catkintally::core
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkintally/core/admission/crash_ledger.hpp>
 #include <catkintally/core/admission/fastest_report.hpp>
 #include <catkintally/core/admission/loss_watch.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
@@ -79,8 +80,13 @@
     /// Sends one health check; answers exactly once, never inline.
     std::function<void(const service_config&, const target_row&, std::function<void(probe_report)>)>
         probe{};
-    /// Opens a new connection to a target; calls the hook, never inline, when it stands or fails.
-    std::function<void(const target_row&, std::function<void()>)> reach{};
+    /// Opens a new connection to a target; calls the hook once, never inline, with whether it
+    /// stands.
+    std::function<void(const target_row&, std::function<void(bool)>)> reach{};
+    /// Told of a crash that other instances may not know yet; may be empty.
+    std::function<void(const target_crash&)> crashed{};
+    /// Told when a request that was suspected of crashing targets was answered; may be empty.
+    std::function<void(std::uint64_t fingerprint)> cleared{};
     /// Told of each decision; may be empty.
     std::function<void(const probing_decision&)> decided{};
     /// Told when a request is found to be lost at its target; may be empty.
@@ -107,6 +113,12 @@
     /// The functions for the HTTP path; valid as long as this object.
     [[nodiscard]] admission_gateway gateway();
 
+    /// Takes a crash that another instance saw; false if it is known already.
+    bool note_crash(const target_crash& crash);
+
+    /// Another instance got an answer to the request. False if it was not suspected.
+    bool note_answered(std::uint64_t fingerprint) { return crashes_.answered(fingerprint); }
+
     /// Probes sent since the start.
     [[nodiscard]] std::uint64_t probes() const { return probes_; }
 
@@ -149,6 +161,7 @@
         /// Time left for an answer of full use; zero if unknown or over.
         duration objective_left{};
         std::string trace_id;
+        std::uint64_t fingerprint = 0;
         /// Told if the target has lost the request; may be empty.
         std::function<void()> lost;
     };
@@ -171,7 +184,8 @@
     [[nodiscard]] bool may_send(request_id id);
     void watch(request_id id, std::function<void()> lost);
     void check_target(const target_key& key, std::function<void(probe_report)> done);
-    void reach_target(const target_key& key, std::function<void()> ended);
+    void reach_target(const target_key& key, std::function<void(bool)> ended);
+    void confirm_crash(const grant& ended);
     void on_lost(request_id id, loss_cause cause);
     void complete(const completion_report& report);
     void report_failure(const target_key& key);
@@ -193,6 +207,7 @@
     std::map<request_id, application> applications_;
     std::map<request_id, grant> grants_;
     loss_watch watch_;
+    crash_ledger crashes_;
     split_mix random_;
     std::uint64_t probes_ = 0;
     /// Expires with this object; late answers check it.
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -71,7 +71,7 @@
            .probe = [this](const target_key& key, std::function<void(probe_report)> done)
            { check_target(key, std::move(done)); },
            .reach = [this](const target_key& key, std::function<void()> ended)
-           { reach_target(key, std::move(ended)); },
+           { reach_target(key, [ended = std::move(ended)](bool) { ended(); }); },
            .lost = [this](request_id id, loss_cause cause) { on_lost(id, cause); }})
     , random_(options_.seed)
 {
@@ -162,6 +162,11 @@
     const auto part =
         std::chrono::duration_cast<duration>(asking.request.objective_left * waiting_part);
     asking.try_until = asking.since + (part > duration::zero() ? part : usual_waiting);
+    if (crashes_.refuses(asking.request.fingerprint, asking.since))
+    {
+        finish(id, decision_code::refused_crashing_request, nullptr, crash_ledger::memory);
+        return;
+    }
     if (!allowed)
     {
         finish(id, decision_code::refused_retry_budget, nullptr, refusal_wait());
@@ -504,6 +509,7 @@
             .at = now,
             .objective_left = asking.request.objective_left,
             .trace_id = asking.request.trace_id,
+            .fingerprint = asking.request.fingerprint,
             .lost = nullptr};
         state(key).in_flight.insert(now);
         state(key).health.sent(now);
@@ -581,14 +587,43 @@
     options_.probe(*config, *target, std::move(done));
 }
 
-void probing_gateway::reach_target(const target_key& key, std::function<void()> ended)
+void probing_gateway::reach_target(const target_key& key, std::function<void(bool)> ended)
 {
     if (const target_row* target = row(key))
     {
         options_.reach(*target, std::move(ended));
         return;
     }
-    options_.timers->schedule_after(duration::zero(), std::move(ended));
+    options_.timers->schedule_after(duration::zero(), [ended = std::move(ended)] { ended(true); });
+}
+
+bool probing_gateway::note_crash(const target_crash& crash)
+{
+    return crashes_.add(crash, options_.timers->now());
+}
+
+void probing_gateway::confirm_crash(const grant& ended)
+{
+    if (ended.fingerprint == 0)
+    {
+        return;
+    }
+    // A target may also lose an answer or reset a surplus connection; one that crashed accepts no
+    // new connection.
+    const target_crash crash{
+        .fingerprint = ended.fingerprint,
+        .target = ended.target.second,
+        .sent_at = ended.at,
+        .crashed_at = options_.timers->now()};
+    reach_target(
+        ended.target,
+        [this, crash, alive = std::weak_ptr(alive_)](bool stands)
+        {
+            if (!alive.expired() && !stands && note_crash(crash) && options_.crashed)
+            {
+                options_.crashed(crash);
+            }
+        });
 }
 
 void probing_gateway::on_lost(request_id id, loss_cause cause)
@@ -636,9 +671,16 @@
     {
     case completion_outcome::answered:
         known->second.health.succeeded();
+        if (crashes_.answered(ended.fingerprint) && options_.cleared)
+        {
+            options_.cleared(ended.fingerprint);
+        }
         break;
-    case completion_outcome::answered_error:
     case completion_outcome::connection_lost:
+        confirm_crash(ended);
+        report_failure(ended.target);
+        break;
+    case completion_outcome::answered_error:
     case completion_outcome::timed_out:
         report_failure(ended.target);
         break;
--- a/packages/core/tests/admission/probing_gateway_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_test.cpp
@@ -36,13 +36,18 @@
             }
             timers.schedule_after(1ms, [done, report = found->second] { done(report); });
         };
-        options.reach = [this](const target_row& target, const std::function<void()>& ended)
+        options.reach = [this](const target_row& target, const std::function<void(bool)>& ended)
         {
-            if (reports.contains(target.name))
+            if (crashed.contains(target.name))
             {
-                timers.schedule_after(1ms, ended);
+                timers.schedule_after(1ms, [ended] { ended(false); });
+            }
+            else if (reports.contains(target.name))
+            {
+                timers.schedule_after(1ms, [ended] { ended(true); });
             }
         };
+        options.crashed = [this](const target_crash& crash) { told_crashes.push_back(crash); };
         options.decided = [this](const probing_decision& decision)
         { decisions.push_back(decision); };
         gateway_object.emplace(options);
@@ -82,6 +87,7 @@
         request.id = id;
         request.service = "desk";
         request.idempotent = true;
+        request.fingerprint = fingerprint;
         request.objective_left = objective;
         request.retry = retry;
         request.excluded_targets = std::move(excluded);
@@ -118,6 +124,10 @@
     duration objective{};
     std::map<std::string, probe_report> reports;
     std::vector<std::string> asked;
+    /// Targets that accept no connection.
+    std::set<std::string> crashed;
+    std::vector<target_crash> told_crashes;
+    std::uint64_t fingerprint = 0;
     std::vector<probing_decision> decisions;
     std::map<request_id, admission_answer> answers;
     std::optional<probing_gateway> gateway_object;
@@ -532,3 +542,65 @@
     all.timers.advance(2s);
     CHECK(lost == 0);
 }
+
+// Guards against a request that crashes every target that runs it: its caller sends it again.
+TEST_CASE("a request that crashes one target after the other is refused")
+{
+    struct row
+    {
+        const char* name;
+        bool crashes;
+        bool answered_between;
+        bool refused;
+    };
+    const auto each = GENERATE(
+        row{"crashes", true, false, true}, row{"answers are lost", false, false, false},
+        row{"another one was answered", true, true, false});
+    INFO(each.name);
+    probing_fixture all(8);
+    all.fingerprint = 7;
+    for (request_id id = 1; id <= 3; ++id)
+    {
+        const admission_answer granted = all.decide(id);
+        REQUIRE(granted.code == decision_code::granted);
+        if (each.crashes)
+        {
+            all.crashed.insert(granted.target);
+            all.reports.erase(granted.target);
+        }
+        all.timers.advance(100ms);
+        all.complete(id, completion_outcome::connection_lost, 0);
+        all.timers.advance(100ms);
+        if (each.answered_between && id == 2)
+        {
+            REQUIRE(all.decide(20).code == decision_code::granted);
+            all.complete(20, completion_outcome::answered);
+        }
+    }
+    CHECK(all.told_crashes.size() == (each.crashes ? 3 : 0));
+    CHECK((all.decide(4).code == decision_code::refused_crashing_request) == each.refused);
+    CHECK(all.answers.at(4).claim == run_claim::not_run);
+    all.fingerprint = 8;
+    CHECK(all.decide(5).code == decision_code::granted);
+}
+
+// Guards against a request that goes on crashing targets through an instance that has not seen any
+// of the crashes itself.
+TEST_CASE("crashes that other instances saw count, too")
+{
+    probing_fixture all(8);
+    all.fingerprint = 7;
+    const time_point now = all.timers.now();
+    for (int crash = 0; crash < 3; ++crash)
+    {
+        const duration ago = 3s - crash * 1s;
+        CHECK(all.gateway_object->note_crash(
+            {.fingerprint = 7,
+             .target = "x" + std::to_string(crash),
+             .sent_at = now - ago - 500ms,
+             .crashed_at = now - ago}));
+    }
+    CHECK(all.decide(1).code == decision_code::refused_crashing_request);
+    CHECK(all.gateway_object->note_answered(7));
+    CHECK(all.decide(2).code == decision_code::granted);
+}
--- a/packages/entry/include/catkintally/entry/news/news_exchange.hpp
+++ b/packages/entry/include/catkintally/entry/news/news_exchange.hpp
@@ -38,6 +38,10 @@
     /// A reader's word, with its age. Not called while news that the reader has are missing here.
     std::function<void(const std::string& reader, wire::reader_state state, core::duration age)>
         heard_reader;
+    /// Another instance saw a crash; true if it is new here, and is passed on.
+    std::function<bool(const core::target_crash&)> heard_crash;
+    /// Another instance got an answer to a suspected request; true if that is new here.
+    std::function<bool(std::uint64_t fingerprint)> heard_cleared;
 };
 
 /// Passes news of the store between instances. Each instance has links to a few others, chosen at
@@ -58,6 +62,12 @@
     /// Passes on changes that this instance has read from the store.
     void tell_update(const object_update& update);
 
+    /// Passes on that a target crashed while it ran a request.
+    void tell_crash(const core::target_crash& crash);
+
+    /// Passes on that a suspected request was answered.
+    void tell_cleared(std::uint64_t fingerprint);
+
     /// Passes on how this instance fares at the store.
     void tell_reader_state(wire::reader_state state);
 
@@ -88,6 +98,8 @@
         const core::member_id& from,
         const std::vector<std::unique_ptr<wire::news_state_data>>& known);
     void pull(const core::member_id& from, const std::string& prefix);
+    void on_crash(const core::member& from, const wire::crash_notice_data& message);
+    [[nodiscard]] wire::payloadUnion notice_of(const core::target_crash& crash) const;
     [[nodiscard]] wire::payloadUnion word(wire::reader_state state);
     [[nodiscard]] wire::payloadUnion greeting();
     void exchange_peers();
--- a/packages/entry/include/catkintally/entry/process/target_prober.hpp
+++ b/packages/entry/include/catkintally/entry/process/target_prober.hpp
@@ -34,9 +34,9 @@
     /// Sends one GET to the health path of the target. `done` is called once, from the loop.
     void probe(const core::service_row& service, const core::target_row& target, report_hook done);
 
-    /// Opens a new connection to the target and sends nothing on it. `ended` is called once, from the
-    /// loop, when the connection stands or has failed.
-    void reach(const core::target_row& target, std::function<void()> ended);
+    /// Opens a new connection to the target and sends nothing on it. `ended` is called once, from
+    /// the loop, with whether the connection stands.
+    void reach(const core::target_row& target, std::function<void(bool)> ended);
 
     /// Probes sent since the start.
     [[nodiscard]] std::uint64_t sent() const { return sent_; }
--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -28,8 +28,8 @@
     bool close_delimited = false;
 };
 
-/// Tells the answer to a request from a surplus answer to an earlier request of the connection, by a
-/// header that targets copy from a request into its answer.
+/// Tells the answer to a request from a surplus answer to an earlier request of the connection, by
+/// a header that targets copy from a request into its answer.
 struct answer_mark
 {
     std::string header;
@@ -77,6 +77,9 @@
     lost
 };
 
+/// Detail of a dispatch that was not sent because the target has all connections that it may have.
+inline constexpr const char* connection_limit_detail = "connection limit";
+
 /// End of a dispatch.
 struct dispatch_end
 {
--- a/packages/entry/src/news/news_exchange.cpp
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -97,6 +97,7 @@
            .linked = [this](const core::member_id& peer) { on_linked(peer); }})
 {
     assert(options_.offer && options_.whole && options_.states && options_.heard_reader);
+    assert(options_.heard_crash && options_.heard_cleared);
 }
 
 news_exchange::~news_exchange()
@@ -200,6 +201,52 @@
     network_.send_to_all(word(state), {});
 }
 
+wire::payloadUnion news_exchange::notice_of(const core::target_crash& crash) const
+{
+    const auto now = options_.timers->now();
+    wire::crash_notice_data data;
+    data.fingerprint = crash.fingerprint;
+    data.target = crash.target;
+    data.sent_ago_ms = milliseconds_of(now - crash.sent_at);
+    data.crashed_ago_ms = milliseconds_of(now - crash.crashed_at);
+    return wire::make_message(std::move(data));
+}
+
+void news_exchange::tell_crash(const core::target_crash& crash)
+{
+    network_.send_to_all(notice_of(crash), {});
+}
+
+void news_exchange::tell_cleared(std::uint64_t fingerprint)
+{
+    wire::crash_notice_data data;
+    data.fingerprint = fingerprint;
+    data.cleared = true;
+    network_.send_to_all(wire::make_message(std::move(data)), {});
+}
+
+void news_exchange::on_crash(const core::member& from, const wire::crash_notice_data& message)
+{
+    if (message.cleared)
+    {
+        if (options_.heard_cleared(message.fingerprint))
+        {
+            network_.send_to_all(wire::make_message(wire::crash_notice_data(message)), from.id);
+        }
+        return;
+    }
+    const auto now = options_.timers->now();
+    const core::target_crash crash{
+        .fingerprint = message.fingerprint,
+        .target = message.target,
+        .sent_at = now - milliseconds(message.sent_ago_ms),
+        .crashed_at = now - milliseconds(message.crashed_ago_ms)};
+    if (crash.fingerprint != 0 && options_.heard_crash(crash))
+    {
+        network_.send_to_all(notice_of(crash), from.id);
+    }
+}
+
 wire::payloadUnion news_exchange::greeting()
 {
     // Says what is known here, without a claim about the store.
@@ -230,6 +277,9 @@
     case wire::payload::reader_word:
         on_word(from, *message.Asreader_word());
         break;
+    case wire::payload::crash_notice:
+        on_crash(from, *message.Ascrash_notice());
+        break;
     case wire::payload::peer_sample:
         on_sample(*message.Aspeer_sample());
         break;
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -78,6 +78,13 @@
          {"asked", asked_text(decision.asked)}});
 }
 
+void log_crash(const core::target_crash& crash)
+{
+    log_event(
+        event_id::target_crashed_with_request,
+        {{"target", crash.target}, {"fingerprint", std::to_string(crash.fingerprint)}});
+}
+
 } // namespace
 
 probing_process::probing_process(
@@ -165,7 +172,11 @@
         .states = [this] { return follower_->states(); },
         .heard_reader =
             [this](const std::string& reader, wire::reader_state state, core::duration age)
-        { duty_->heard_reader(reader, state, age); }});
+        { duty_->heard_reader(reader, state, age); },
+        .heard_crash = [this](const core::target_crash& crash)
+        { return gateway_.note_crash(crash); },
+        .heard_cleared = [this](std::uint64_t fingerprint)
+        { return gateway_.note_answered(fingerprint); }});
 }
 
 core::probing_gateway_options probing_process::gateway_options()
@@ -188,8 +199,23 @@
                         const core::service_config& config, const core::target_row& target,
                         std::function<void(core::probe_report)> done)
     { prober_.probe(config.service, target, std::move(done)); };
-    options.reach = [this](const core::target_row& target, std::function<void()> ended)
+    options.reach = [this](const core::target_row& target, std::function<void(bool)> ended)
     { prober_.reach(target, std::move(ended)); };
+    options.crashed = [this](const core::target_crash& crash)
+    {
+        log_crash(crash);
+        if (news_)
+        {
+            news_->tell_crash(crash);
+        }
+    };
+    options.cleared = [this](std::uint64_t fingerprint)
+    {
+        if (news_)
+        {
+            news_->tell_cleared(fingerprint);
+        }
+    };
     options.decided = log_decision;
     options.lost =
         [](const std::string& trace_id, const std::string& target, core::loss_cause cause)
--- a/packages/entry/src/process/target_prober.cpp
+++ b/packages/entry/src/process/target_prober.cpp
@@ -55,7 +55,7 @@
         [this, id](const dispatch_end& end) { finish(id, end); });
 }
 
-void target_prober::reach(const core::target_row& target, std::function<void()> ended)
+void target_prober::reach(const core::target_row& target, std::function<void(bool)> ended)
 {
     target_request request;
     request.method = "GET";
@@ -64,7 +64,11 @@
     request.may_send = [] { return false; };
     options_.pool().dispatch(
         target.address, std::move(request),
-        [ended = std::move(ended)](const dispatch_end&) { ended(); });
+        [ended = std::move(ended)](const dispatch_end& end)
+        {
+            // Without a free connection of its own, this instance learns nothing of the target.
+            ended(end.result != dispatch_result::not_sent || end.detail == connection_limit_detail);
+        });
 }
 
 core::probe_report target_prober::read(const dispatch_end& end) const
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -64,7 +64,7 @@
                 done(
                     {.result = dispatch_result::not_sent,
                      .answer = {},
-                     .detail = "connection limit"});
+                     .detail = connection_limit_detail});
             });
         return;
     }
--- a/packages/entry/tests/news/news_exchange_test.cpp
+++ b/packages/entry/tests/news/news_exchange_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 
 using namespace catkintally;
 using namespace catkintally::entry;
@@ -50,7 +51,15 @@
                 },
                 .heard_reader =
                     [this](const std::string& reader, wire::reader_state state, core::duration)
-                { words.push_back(reader + ' ' + wire::EnumNamereader_state(state)); }});
+                { words.push_back(reader + ' ' + wire::EnumNamereader_state(state)); },
+                .heard_crash = [this](const core::target_crash& crash)
+                { return crashes.emplace(crash.fingerprint, crash.target).second; },
+                .heard_cleared =
+                    [this](std::uint64_t fingerprint) {
+                        return std::erase_if(
+                                   crashes,
+                                   [&](const auto& each) { return each.first == fingerprint; }) > 0;
+                    }});
         REQUIRE(exchange->start());
     }
 
@@ -80,6 +89,7 @@
 
     std::string address;
     std::optional<object_update> known;
+    std::set<std::pair<std::uint64_t, std::string>> crashes;
     std::vector<std::string> words;
     std::unique_ptr<news_exchange> exchange;
 };
@@ -156,6 +166,33 @@
     }
 }
 
+// Guards against a request that crashes targets through one instance after the other, and against
+// notices that go round for ever.
+TEST_CASE("crashes and their all-clear reach every instance once")
+{
+    exchange_fixture fixture;
+    for (int index = 0; index < 8; ++index)
+    {
+        fixture.add("i" + std::to_string(index));
+    }
+    REQUIRE(
+        fixture.reach([](const news_instance& each) { return each.exchange->instances() > 1; }));
+    news_instance& witness = *fixture.instances[3];
+    witness.learn_from_store(1);
+    REQUIRE(fixture.all_know(1));
+    const core::target_crash crash{
+        .fingerprint = 7,
+        .target = "t1",
+        .sent_at = fixture.timers.now() - 2s,
+        .crashed_at = fixture.timers.now() - 1s};
+    witness.crashes.emplace(crash.fingerprint, crash.target);
+    witness.exchange->tell_crash(crash);
+    REQUIRE(fixture.reach([](const news_instance& each) { return each.crashes.size() == 1; }));
+    witness.crashes.clear();
+    witness.exchange->tell_cleared(7);
+    REQUIRE(fixture.reach([](const news_instance& each) { return each.crashes.empty(); }));
+}
+
 // Guards against an instance that needs the store to start, and against news that stop because the
 // instance that brought them, or a seed, is gone.
 TEST_CASE("an instance that starts learns everything from any other one")
