Keep cleared crashes known, so that their notices end

Cause: a cleared request was forgotten, so that a notice of its crash that was still going round was new again, was passed on, was cleared again, and so on. Change: a crash stays known for its minute when it is cleared; each notice is passed on once by each instance.

--- a/packages/core/include/catkintally/core/admission/crash_ledger.hpp
+++ b/packages/core/include/catkintally/core/admission/crash_ledger.hpp
@@ -29,26 +29,37 @@
 class crash_ledger
 {
 public:
-    /// Adds a crash that this instance saw or heard of; false if it is known already.
+    /// Adds a crash that this instance saw or heard of; false if it is known already. A crash stays
+    /// known when it is cleared: notices of both go round at the same time, and each instance
+    /// passes on what is new to it.
     bool add(const target_crash& crash, time_point now);
 
-    /// A target answered the request, so it is not the cause. True if it was suspected.
+    /// A target answered the request, so it is not the cause of the crashes before. True if it was
+    /// suspected.
     bool answered(std::uint64_t fingerprint);
 
     /// True if the request must be refused.
     [[nodiscard]] bool refuses(std::uint64_t fingerprint, time_point now) const;
 
-    /// Requests that were in flight at a crash and have not been answered since.
-    [[nodiscard]] std::size_t suspects() const { return records_.size(); }
+    /// Requests that are remembered.
+    [[nodiscard]] std::size_t size() const { return records_.size(); }
 
     /// How long a crash is remembered.
     static constexpr duration memory = std::chrono::seconds(60);
 
 private:
+    struct known_crash
+    {
+        target_crash crash;
+        /// The request was answered afterwards.
+        bool cleared = false;
+    };
+
+    static time_point last_crash(const std::vector<known_crash>& crashes);
     void make_room(time_point now);
 
     /// By fingerprint, in order of the crashes.
-    std::map<std::uint64_t, std::vector<target_crash>> records_;
+    std::map<std::uint64_t, std::vector<known_crash>> records_;
 };
 
 } // namespace catkintally::core
--- a/packages/core/src/admission/crash_ledger.cpp
+++ b/packages/core/src/admission/crash_ledger.cpp
@@ -20,13 +20,13 @@
 /// way.
 constexpr duration tolerance = std::chrono::milliseconds(10);
 
-time_point last_crash(const std::vector<target_crash>& crashes)
+} // namespace
+
+time_point crash_ledger::last_crash(const std::vector<known_crash>& crashes)
 {
-    return crashes.empty() ? time_point{} : crashes.back().crashed_at;
+    return crashes.empty() ? time_point{} : crashes.back().crash.crashed_at;
 }
 
-} // namespace
-
 bool crash_ledger::add(const target_crash& crash, time_point now)
 {
     assert(crash.fingerprint != 0);
@@ -37,24 +37,35 @@
     make_room(now);
     auto& crashes = records_[crash.fingerprint];
     std::erase_if(
-        crashes, [now](const target_crash& each) { return each.crashed_at + memory <= now; });
+        crashes, [now](const known_crash& each) { return each.crash.crashed_at + memory <= now; });
     const bool known = std::any_of(
         crashes.begin(), crashes.end(),
-        [&](const target_crash& each) { return each.target == crash.target; });
+        [&](const known_crash& each) { return each.crash.target == crash.target; });
     if (known)
     {
         return false;
     }
     const auto place = std::upper_bound(
-        crashes.begin(), crashes.end(), crash,
-        [](const target_crash& a, const target_crash& b) { return a.crashed_at < b.crashed_at; });
-    crashes.insert(place, crash);
+        crashes.begin(), crashes.end(), crash.crashed_at,
+        [](time_point at, const known_crash& each) { return at < each.crash.crashed_at; });
+    crashes.insert(place, {.crash = crash});
     return true;
 }
 
 bool crash_ledger::answered(std::uint64_t fingerprint)
 {
-    return records_.erase(fingerprint) > 0;
+    const auto found = records_.find(fingerprint);
+    if (found == records_.end())
+    {
+        return false;
+    }
+    bool suspected = false;
+    for (known_crash& each : found->second)
+    {
+        suspected = suspected || !each.cleared;
+        each.cleared = true;
+    }
+    return suspected;
 }
 
 bool crash_ledger::refuses(std::uint64_t fingerprint, time_point now) const
@@ -66,13 +77,14 @@
     }
     std::size_t in_a_row = 0;
     time_point before = time_point::min() + tolerance;
-    for (const target_crash& each : found->second)
+    for (const known_crash& each : found->second)
     {
+        const target_crash& crash = each.crash;
         // Only a request that was sent again after a crash counts once more.
-        if (each.crashed_at + memory > now && each.sent_at >= before - tolerance)
+        if (!each.cleared && crash.crashed_at + memory > now && crash.sent_at >= before - tolerance)
         {
             ++in_a_row;
-            before = each.crashed_at;
+            before = crash.crashed_at;
         }
     }
     return in_a_row >= refused_after;
--- a/packages/core/tests/admission/crash_ledger_test.cpp
+++ b/packages/core/tests/admission/crash_ledger_test.cpp
@@ -77,6 +77,20 @@
     }
 }
 
+// Guards against notices of crashes and of their all-clear that chase each other through the fleet
+// for ever: on a played day they filled the links between the instances with 6 GB.
+TEST_CASE("a crash that was cleared is not new again")
+{
+    crash_ledger ledger;
+    CHECK(ledger.add(crash("a", 100s, 101s), time_point(101s)));
+    CHECK(ledger.answered(7));
+    CHECK_FALSE(ledger.add(crash("a", 100s, 101s), time_point(101s)));
+    CHECK_FALSE(ledger.answered(7));
+    CHECK(ledger.add(crash("b", 102s, 103s), time_point(103s)));
+    CHECK(ledger.answered(7));
+    CHECK_FALSE(ledger.answered(7));
+}
+
 // Guards against crashes that are passed on for ever, and against memory that grows with them.
 TEST_CASE("a crash is new once, and the ledger is bounded")
 {
@@ -90,5 +104,5 @@
         each.fingerprint = request;
         ledger.add(each, time_point(102s));
     }
-    CHECK(ledger.suspects() <= 1024);
+    CHECK(ledger.size() <= 1024);
 }
