--- a/packages/core/include/catkintally/core/admission/crash_ledger.hpp
+++ b/packages/core/include/catkintally/core/admission/crash_ledger.hpp
@@ -41,6 +41,9 @@
     /// True if the request must be refused.
     [[nodiscard]] bool refuses(std::uint64_t fingerprint, time_point now) const;
 
+    /// Crashes whose requests have not been answered since, for instances that start.
+    [[nodiscard]] std::vector<target_crash> suspected() const;
+
     /// Requests that are remembered.
     [[nodiscard]] std::size_t size() const { return records_.size(); }
 
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -116,6 +116,12 @@
     /// Takes a crash that another instance saw; false if it is known already.
     bool note_crash(const target_crash& crash);
 
+    /// Crashes whose requests are suspected.
+    [[nodiscard]] std::vector<target_crash> suspected_crashes() const
+    {
+        return crashes_.suspected();
+    }
+
     /// Another instance got an answer to the request. False if it was not suspected.
     bool note_answered(std::uint64_t fingerprint) { return crashes_.answered(fingerprint); }
 
--- a/packages/core/src/admission/crash_ledger.cpp
+++ b/packages/core/src/admission/crash_ledger.cpp
@@ -90,6 +90,22 @@
     return in_a_row >= refused_after;
 }
 
+std::vector<target_crash> crash_ledger::suspected() const
+{
+    std::vector<target_crash> crashes;
+    for (const auto& [fingerprint, known] : records_)
+    {
+        for (const known_crash& each : known)
+        {
+            if (!each.cleared)
+            {
+                crashes.push_back(each.crash);
+            }
+        }
+    }
+    return crashes;
+}
+
 void crash_ledger::make_room(time_point now)
 {
     if (records_.size() < max_records)
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -40,22 +40,11 @@
 /// Without any answer the last round waits this many times longer before the request is refused.
 constexpr int last_round_factor = 10;
 
-/// A request is checked on when its objective has passed: nearly all others are answered before, so
-/// the checks cost little. This is for requests without an objective, or whose objective is over.
-constexpr duration usual_patience = milliseconds(200);
-
 /// Validity of a grant; longer than a connection takes to be made.
 constexpr duration validity = std::chrono::seconds(1);
 
-/// Requests a second that a cold target is taken to carry if its service does not say.
-constexpr double usual_warmup_rate = 4;
-
-/// Parts of that rate for the instances of the target's failure domain and for all others. Together
-/// they leave room for instances that are not known yet.
-constexpr double near_cold_part = 0.8;
-constexpr double far_cold_part = 0.3;
-
-/// Part of the fleet's retry allowance that is dealt out, for the same reason.
+/// Part of the fleet's retry allowance that is dealt out; the rest is for instances that are not
+/// known yet.
 constexpr double retry_part = 0.8;
 
 /// Refused callers come back spread over this span, so that they do not return as a wave.
@@ -175,73 +164,6 @@
     ask_round(id);
 }
 
-std::vector<const target_row*> probing_gateway::candidates(const application& asking) const
-{
-    std::vector<const target_row*> healthy;
-    std::vector<const target_row*> all;
-    const service_config* config = service(asking.request.service);
-    if (config == nullptr)
-    {
-        return all;
-    }
-    const auto now = options_.timers->now();
-    for (const target_row& each : config->targets)
-    {
-        const auto& excluded = asking.request.excluded_targets;
-        const bool asked = std::any_of(
-            asking.asked.begin(), asking.asked.end(),
-            [&](const asked_target& other) { return other.name == each.name; });
-        if (asked || !takes_new_work(each, *table_) ||
-            std::find(excluded.begin(), excluded.end(), each.name) != excluded.end())
-        {
-            continue;
-        }
-        if (!may_use(*config, each))
-        {
-            continue;
-        }
-        all.push_back(&each);
-        if (!targets_.at({config->service.name, each.name}).health.is_ejected(now))
-        {
-            healthy.push_back(&each);
-        }
-    }
-    // With most targets ejected, the cause is more likely an overload or a cut of this instance,
-    // and the few that are left could not carry the work.
-    return healthy.size() * 2 >= all.size() ? healthy : all;
-}
-
-std::vector<const target_row*> probing_gateway::choose_to_ask(const application& asking)
-{
-    const auto usable = candidates(asking);
-    std::vector<subset_member> members;
-    members.reserve(usable.size());
-    for (std::size_t index = 0; index < usable.size(); ++index)
-    {
-        const target_row& target = *usable[index];
-        members.push_back(
-            {.rank = targets_.at({asking.request.service, target.name}).rank,
-             .near = target.failure_domain == options_.failure_domain,
-             .index = index});
-    }
-    members = narrow(std::move(members), fleet().near, asking.round);
-
-    // A random order, with the targets of the own failure domain first.
-    for (std::size_t i = members.size(); i > 1; --i)
-    {
-        std::swap(members[i - 1], members[random_.next() % i]);
-    }
-    std::stable_partition(
-        members.begin(), members.end(), [](const subset_member& each) { return each.near; });
-    members.resize(std::min(members.size(), options_.targets_asked));
-    std::vector<const target_row*> chosen;
-    for (const subset_member& each : members)
-    {
-        chosen.push_back(usable[each.index]);
-    }
-    return chosen;
-}
-
 void probing_gateway::ask_round(request_id id)
 {
     application& asking = applications_.at(id);
@@ -396,36 +318,6 @@
     return best;
 }
 
-fleet_size probing_gateway::fleet() const
-{
-    return options_.fleet ? options_.fleet() : fleet_size{};
-}
-
-bool probing_gateway::is_chosen_for_cold(
-    const service_config& config, const target_row& target) const
-{
-    const bool near = target.failure_domain == options_.failure_domain;
-    const fleet_size size = fleet();
-    const double rate = config.service.warmup_requests_per_s > 0
-                            ? config.service.warmup_requests_per_s
-                            : usual_warmup_rate;
-    // Each chosen instance sends one request an interval; so many are chosen that they use their
-    // part of the rate. The choice differs from target to target.
-    const double wanted = rate * (near ? near_cold_part : far_cold_part) *
-                          std::chrono::duration<double>(options_.cold_interval).count();
-    const auto others = static_cast<double>(std::max<std::size_t>(near ? size.near : size.far, 1));
-    split_mix lot(std::hash<std::string>()(options_.self + '/' + target.name));
-    return static_cast<double>(lot.next() >> 11U) * 0x1.0p-53 < wanted / others;
-}
-
-bool probing_gateway::may_use(const service_config& config, const target_row& target) const
-{
-    const target_health& health = targets_.at({config.service.name, target.name}).health;
-    const auto now = options_.timers->now();
-    return !health.is_cold(now) ||
-           (health.may_take(now, options_.cold_interval) && is_chosen_for_cold(config, target));
-}
-
 void probing_gateway::decide(request_id id)
 {
     application& asking = applications_.at(id);
@@ -469,15 +361,6 @@
         refusal_wait());
 }
 
-bool probing_gateway::has_targets(const std::string& name) const
-{
-    const service_config* config = service(name);
-    return config != nullptr &&
-           std::any_of(
-               config->targets.begin(), config->targets.end(),
-               [this](const target_row& each) { return takes_new_work(each, *table_); });
-}
-
 void probing_gateway::try_later(request_id id)
 {
     application& asking = applications_.at(id);
@@ -561,92 +444,6 @@
     return target != nullptr && takes_new_work(*target, *table_);
 }
 
-void probing_gateway::watch(request_id id, std::function<void()> lost)
-{
-    grant& watched = grants_.at(id);
-    watched.lost = std::move(lost);
-    watch_.sent(
-        id, watched.target,
-        watched.objective_left > duration::zero() ? watched.objective_left : usual_patience);
-}
-
-void probing_gateway::check_target(const target_key& key, std::function<void(probe_report)> done)
-{
-    const service_config* config = service(key.first);
-    const target_row* target = row(key);
-    if (config == nullptr || target == nullptr)
-    {
-        // The target has left the table and may serve its last requests; nothing is learnt of it.
-        probe_report unknown;
-        unknown.answered = true;
-        options_.timers->schedule_after(
-            duration::zero(), [done = std::move(done), unknown] { done(unknown); });
-        return;
-    }
-    ++probes_;
-    options_.probe(*config, *target, std::move(done));
-}
-
-void probing_gateway::reach_target(const target_key& key, std::function<void(bool)> ended)
-{
-    if (const target_row* target = row(key))
-    {
-        options_.reach(*target, std::move(ended));
-        return;
-    }
-    options_.timers->schedule_after(duration::zero(), [ended = std::move(ended)] { ended(true); });
-}
-
-bool probing_gateway::note_crash(const target_crash& crash)
-{
-    return crashes_.add(crash, options_.timers->now());
-}
-
-void probing_gateway::confirm_crash(const grant& ended)
-{
-    if (ended.fingerprint == 0)
-    {
-        return;
-    }
-    // A target may also lose an answer or reset a surplus connection; one that crashed accepts no
-    // new connection.
-    const target_crash crash{
-        .fingerprint = ended.fingerprint,
-        .target = ended.target.second,
-        .sent_at = ended.at,
-        .crashed_at = options_.timers->now()};
-    reach_target(
-        ended.target,
-        [this, crash, alive = std::weak_ptr(alive_)](bool stands)
-        {
-            if (!alive.expired() && !stands && note_crash(crash) && options_.crashed)
-            {
-                options_.crashed(crash);
-            }
-        });
-}
-
-void probing_gateway::on_lost(request_id id, loss_cause cause)
-{
-    const auto found = grants_.find(id);
-    if (found == grants_.end())
-    {
-        return;
-    }
-    if (options_.lost)
-    {
-        options_.lost(found->second.trace_id, found->second.target.second, cause);
-    }
-    if (cause != loss_cause::not_at_target)
-    {
-        report_failure(found->second.target);
-    }
-    if (const auto lost = found->second.lost)
-    {
-        lost();
-    }
-}
-
 void probing_gateway::complete(const completion_report& report)
 {
     const auto found = grants_.find(report.id);
--- a/packages/core/tests/admission/crash_ledger_test.cpp
+++ b/packages/core/tests/admission/crash_ledger_test.cpp
@@ -86,7 +86,10 @@
     CHECK(ledger.answered(7));
     CHECK_FALSE(ledger.add(crash("a", 100s, 101s), time_point(101s)));
     CHECK_FALSE(ledger.answered(7));
+    CHECK(ledger.suspected().empty());
     CHECK(ledger.add(crash("b", 102s, 103s), time_point(103s)));
+    REQUIRE(ledger.suspected().size() == 1);
+    CHECK(ledger.suspected()[0].target == "b");
     CHECK(ledger.answered(7));
     CHECK_FALSE(ledger.answered(7));
 }
--- a/packages/entry/include/catkintally/entry/news/news_exchange.hpp
+++ b/packages/entry/include/catkintally/entry/news/news_exchange.hpp
@@ -40,6 +40,8 @@
         heard_reader;
     /// Another instance saw a crash; true if it is new here, and is passed on.
     std::function<bool(const core::target_crash&)> heard_crash;
+    /// Crashes to tell an instance that starts.
+    std::function<std::vector<core::target_crash>()> suspected_crashes;
     /// Another instance got an answer to a suspected request; true if that is new here.
     std::function<bool(std::uint64_t fingerprint)> heard_cleared;
 };
--- a/packages/entry/src/news/news_exchange.cpp
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -97,7 +97,7 @@
            .linked = [this](const core::member_id& peer) { on_linked(peer); }})
 {
     assert(options_.offer && options_.whole && options_.states && options_.heard_reader);
-    assert(options_.heard_crash && options_.heard_cleared);
+    assert(options_.heard_crash && options_.heard_cleared && options_.suspected_crashes);
 }
 
 news_exchange::~news_exchange()
@@ -258,6 +258,10 @@
 void news_exchange::on_linked(const core::member_id& peer)
 {
     network_.send(peer, greeting());
+    for (const core::target_crash& crash : options_.suspected_crashes())
+    {
+        network_.send(peer, notice_of(crash));
+    }
 }
 
 void news_exchange::receive(const core::member& from, const wire::payloadUnion& message)
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -175,6 +175,7 @@
         { duty_->heard_reader(reader, state, age); },
         .heard_crash = [this](const core::target_crash& crash)
         { return gateway_.note_crash(crash); },
+        .suspected_crashes = [this] { return gateway_.suspected_crashes(); },
         .heard_cleared = [this](std::uint64_t fingerprint)
         { return gateway_.note_answered(fingerprint); }});
 }
--- a/packages/entry/tests/news/news_exchange_test.cpp
+++ b/packages/entry/tests/news/news_exchange_test.cpp
@@ -54,6 +54,16 @@
                 { words.push_back(reader + ' ' + wire::EnumNamereader_state(state)); },
                 .heard_crash = [this](const core::target_crash& crash)
                 { return crashes.emplace(crash.fingerprint, crash.target).second; },
+                .suspected_crashes =
+                    [this]
+                {
+                    std::vector<core::target_crash> known;
+                    for (const auto& [fingerprint, target] : crashes)
+                    {
+                        known.push_back({.fingerprint = fingerprint, .target = target});
+                    }
+                    return known;
+                },
                 .heard_cleared =
                     [this](std::uint64_t fingerprint) {
                         return std::erase_if(
@@ -188,6 +198,9 @@
     witness.crashes.emplace(crash.fingerprint, crash.target);
     witness.exchange->tell_crash(crash);
     REQUIRE(fixture.reach([](const news_instance& each) { return each.crashes.size() == 1; }));
+    // An instance that starts later must not let the request crash further targets.
+    fixture.add("i8");
+    REQUIRE(fixture.reach([](const news_instance& each) { return each.crashes.size() == 1; }));
     witness.crashes.clear();
     witness.exchange->tell_cleared(7);
     REQUIRE(fixture.reach([](const news_instance& each) { return each.crashes.empty(); }));
--- a/packages/runtime/include/catkintally/runtime/metrics/latency_histogram.hpp
+++ b/packages/runtime/include/catkintally/runtime/metrics/latency_histogram.hpp
@@ -18,8 +18,9 @@
 class latency_histogram
 {
 public:
-    /// Upper bounds of the buckets in seconds, inclusive; a further bucket takes all longer samples.
-    /// They cover what instances add (about a millisecond) up to the longest deadlines (seconds).
+    /// Upper bounds of the buckets in seconds, inclusive; a further bucket takes all longer
+    /// samples. They cover what instances add (about a millisecond) up to the longest deadlines
+    /// (seconds).
     static constexpr std::array<double, 13> bucket_bounds = {
         0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0};
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -12,6 +12,8 @@
 RETRY_SLACK = 56
 WARMUP_PER_S = 4.0
 COLD_BOUND = WARMUP_PER_S * 1.5 + 5
+# Three crashes show the cause; three more may be on their way.
+MOST_CRASHES = 6
 SERVED_SHARE = 0.95
 
 
@@ -138,6 +140,12 @@
         """The bound has passed, and the instances were in touch all the while."""
         return now - since > bound and since - self.settled_since() >= CONTACT_S
 
+    def crashing(self, path, began):
+        """A request that crashes its targets was sent many times since `began`."""
+        crashes = sum(each.runs for each in self.requests.values() if each.path == path)
+        if crashes > MOST_CRASHES and began - self.settled_since() >= CONTACT_S:
+            self.broken("crashing", f"{path} crashed {crashes} targets")
+
     # At the end.
 
     def finish(self, calm_from):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -3,6 +3,10 @@
 import signal
 import time
 
+from .callers import Caller
+from .instances import LOADING_S
+from .targets import CRASHING_PATH
+
 
 async def instance_killed(world, pick):
     instance = pick.choice(world.instances)
@@ -40,7 +44,10 @@
 
 
 async def settings_reloaded(world, pick):
-    pick.choice(world.instances).signal(signal.SIGHUP)
+    instance = pick.choice(world.instances)
+    # Seed 202: before main() nothing can keep the signal from ending the process.
+    if time.monotonic() - instance.started_at >= LOADING_S:
+        instance.signal(signal.SIGHUP)
 
 
 async def store_link_harmed(world, pick):
@@ -129,16 +136,28 @@
         await asyncio.sleep(pick.uniform(1.0, 8.0))
         # The callers' requests under way may still arrive, so the bound ends before the recall.
         del world.checks.evacuated[domain]
-        while (await world.remove("evacuations", domain))[0] not in (200, 404):
-            await asyncio.sleep(0.1)
+        await world.remove_until_gone("evacuations", domain)
+
+
+async def crashing_request(world, pick):
+    """A caller sends the same request again and again, to any instance; it crashes its targets."""
+    path = f"{CRASHING_PATH}-{pick.randrange(1 << 30)}"
+    began = time.monotonic()
+    caller = Caller(world, 1000 + pick.randrange(1 << 14))
+    for _ in range(12):
+        await caller.attempt("GET", path, b"", True, "lookup", time.monotonic() + 1.5)
+        await caller.close()
+        await asyncio.sleep(0.4)
+    world.checks.crashing(path, began)
 
 
 async def configuration_changes(world, pick):
     await world.configure()
 
 
+# Work of operators and callers that leaves instances and store undisturbed.
 PLANNED = (instance_restarted, settings_reloaded, target_replaced, domain_evacuated,
-           configuration_changes)
+           configuration_changes, crashing_request)
 # Those after which instances count as disturbed until some time later.
 DISTURBING = (instance_killed, herd_killed, instance_paused, store_link_harmed, store_fails,
               store_forgets)
--- a/tools/soak/http_text.py
+++ b/tools/soak/http_text.py
@@ -43,7 +43,7 @@
             if head is None:
                 return 0, None
             answer = await read_body(reader, head[1])
-            return int(head[0].split()[1]), json.loads(answer) if answer[:1] in b"{[" else None
+            return int(head[0].split()[1]), json.loads(answer) if answer[:1] in (b"{", b"[") else None
     except (OSError, ValueError, asyncio.IncompleteReadError):
         return 0, None
     finally:
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -17,9 +17,14 @@
         self.open = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        """Listens, on the same port as before if it was closed."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def close(self):
+        """Refuses new connections, as a machine without the program does."""
+        self.server.close()
+
     async def serve(self, reader, writer):
         if self.mode == "refuse":
             reset(writer)
@@ -65,7 +70,7 @@
 
     def stop(self):
         self.reset_open()
-        self.server.close()
+        self.close()
 
 
 def reset(writer):
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -29,6 +29,7 @@
 # Seeds that once found a fault, with its cause.
 REGRESSIONS = {
     100: "SIGTERM or SIGHUP at the start of main() ended the process by the signal",
+    204: "instances that were restarted let a crashing request crash further targets",
 }
 # After the last fault, before promises of a calm system are judged.
 SETTLE_S = 5.0
@@ -76,8 +77,12 @@
             status, _ = await http_text.call(self.store_port, "POST", f"/v1/objects/{kind}", body)
         return status, None
 
-    async def remove(self, kind, name):
-        return await http_text.call(self.store_port, "DELETE", f"/v1/objects/{kind}/{name}")
+    async def remove_until_gone(self, kind, name):
+        """Removes an object; a store that is away is asked again."""
+        path = f"/v1/objects/{kind}/{name}"
+        # The stand-in answers 409 if there is no such object any more.
+        while (await http_text.call(self.store_port, "DELETE", path))[0] not in (200, 404, 409):
+            await asyncio.sleep(0.1)
 
     async def control(self, **switches):
         await http_text.call(self.store_port, "POST", "/control", switches)
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -7,6 +7,10 @@
 from .proxy import Proxy, reset
 
 
+# A request on this path crashes each target that runs it.
+CRASHING_PATH = "/l/crash"
+
+
 def body_of(service, path, request_body):
     """What a target of `service` answers to a request; callers compare it."""
     digest = hashlib.sha256(path.encode() + b"|" + request_body).hexdigest()
@@ -37,7 +41,7 @@
         self.state = "ready"
         self.cold_until = 0.0
         self.server = None
-        self.proxy = None
+        self.proxy = Proxy(0)
         self.registered = False
 
     @property
@@ -53,10 +57,8 @@
         self.running = self.waiting = 0
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
-        if self.proxy is None:
-            self.proxy = Proxy(port)
-            await self.proxy.start()
         self.proxy.target_port = port
+        await self.proxy.start()
         self.up = True
         await self.report()
 
@@ -81,14 +83,14 @@
         """Ends at once; connections are reset."""
         self.up = False
         self.server.close()
+        self.proxy.close()
         for writer in list(self.writers):
             reset(writer)
 
     async def remove(self):
         """Takes the registration of this incarnation back, as the platform does after silence."""
         name = self.name
-        while (await self.world.remove("servers", name))[0] not in (200, 404):
-            await asyncio.sleep(0.1)
+        await self.world.remove_until_gone("servers", name)
 
     async def leave(self):
         """Drains: reports it, serves on for a while, and ends."""
@@ -160,6 +162,10 @@
             self.waiting -= 1
             self.running += 1
             self.world.checks.ran(self, request, method, path, body)
+            if path.startswith(CRASHING_PATH):
+                self.crash()
+                self.world.revive(self)
+                return None
             await asyncio.sleep(self.service_s * self.slowdown)
             if incarnation == self.incarnation:
                 self.running -= 1
--- a/tools/soak/test_checks.py
+++ b/tools/soak/test_checks.py
@@ -32,6 +32,9 @@
     "regress": lambda c: (c.routes_since.update(v1=9.0),
                           c.answered(order(c, 9.1, "/v1/1"), 200, 9.2, "t1", b"", (b"",)),
                           c.answered(c.requests["r1"], 404, 9.3)),
+    "crashing": lambda c: (c.sent(Request("r1", "i0", "GET", "/c", b"", True, "order", 10.0)),
+                           [c.ran(Place, "r1", "GET", "/c", b"") for _ in range(7)],
+                           c.crashing("/c", 9.0)),
     "lost": lambda c: c.cut(order(c), True, 10.1),
     "recover": lambda c: (order(c), c.finish(9.0)),
     "retries": lambda c: (order(c), [c.arrived(Place, "r1", 8 + n / 100) for n in range(60)],
@@ -50,7 +53,7 @@
                 self.assertEqual({found for found, _ in checks.violations}, {rule})
 
     def test_time_bounds_hold_for_settled_instances_only(self):
-        for rule in ("drain", "evacuation", "config", "lost"):
+        for rule in ("drain", "evacuation", "config", "lost", "crashing"):
             with self.subTest(rule):
                 checks = Checks(settled_since=lambda: 8.0)
                 CASES[rule](checks)
