Give no retry back that was not taken; move the gateway's fixture apart

Read-through: a retry beyond the allowance that was refused as crashing gave a retry back that it had not taken. The allowance is now checked first. What is usual in a service is forgotten with the service. The lot for cold targets uses target_rank, which is the same number.

--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -122,6 +122,8 @@
         }
     }
     targets_ = std::move(kept);
+    std::erase_if(
+        fastest_, [this](const auto& each) { return !table_->services.contains(each.first); });
 }
 
 const service_config* probing_gateway::service(const std::string& name) const
@@ -151,14 +153,14 @@
     const auto part =
         std::chrono::duration_cast<duration>(asking.request.objective_left * waiting_part);
     asking.try_until = asking.since + (part > duration::zero() ? part : usual_waiting);
-    if (crashes_.refuses(asking.request.fingerprint, asking.since))
+    if (!allowed)
     {
-        finish(id, decision_code::refused_crashing_request, nullptr, crash_ledger::memory);
+        finish(id, decision_code::refused_retry_budget, nullptr, refusal_wait());
         return;
     }
-    if (!allowed)
+    if (crashes_.refuses(asking.request.fingerprint, asking.since))
     {
-        finish(id, decision_code::refused_retry_budget, nullptr, refusal_wait());
+        finish(id, decision_code::refused_crashing_request, nullptr, crash_ledger::memory);
         return;
     }
     ask_round(id);
--- a/packages/core/src/admission/probing_gateway_targets.cpp
+++ b/packages/core/src/admission/probing_gateway_targets.cpp
@@ -4,7 +4,6 @@
 #include <catkintally/core/admission/target_subset.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace catkintally::core
@@ -109,8 +108,8 @@
     const double wanted = rate * (near ? near_cold_part : far_cold_part) *
                           std::chrono::duration<double>(options_.cold_interval).count();
     const auto others = static_cast<double>(std::max<std::size_t>(near ? size.near : size.far, 1));
-    split_mix lot(std::hash<std::string>()(options_.self + '/' + target.name));
-    return static_cast<double>(lot.next() >> 11U) * 0x1.0p-53 < wanted / others;
+    const std::uint64_t lot = target_rank(options_.self, target.name);
+    return static_cast<double>(lot >> 11U) * 0x1.0p-53 < wanted / others;
 }
 
 bool probing_gateway::may_use(const service_config& config, const target_row& target) const
--- /dev/null
+++ b/packages/core/tests/admission/probing_fixture.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <catkintally/core/admission/probing_gateway.hpp>
+#include <catkintally/core/time/manual_timer_service.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace catkintally::core
+{
+
+/// A gateway over targets whose answers to probes are set by the test. Targets t0, t1, ... stand in
+/// the domains "here" and "there" in turn.
+struct probing_fixture
+{
+    explicit probing_fixture(std::size_t count = 4, probing_gateway_options options = {})
+    {
+        options.timers = &timers;
+        options.seed = 7;
+        options.failure_domain = "here";
+        options.probe = [this](
+                            const service_config&, const target_row& target,
+                            const std::function<void(probe_report)>& done)
+        {
+            asked.push_back(target.name);
+            const auto found = reports.find(target.name);
+            if (found == reports.end())
+            {
+                return;
+            }
+            timers.schedule_after(
+                std::chrono::milliseconds(1), [done, report = found->second] { done(report); });
+        };
+        options.reach = [this](const target_row& target, const std::function<void(bool)>& ended)
+        {
+            if (crashed.contains(target.name))
+            {
+                timers.schedule_after(std::chrono::milliseconds(1), [ended] { ended(false); });
+            }
+            else if (reports.contains(target.name))
+            {
+                timers.schedule_after(std::chrono::milliseconds(1), [ended] { ended(true); });
+            }
+        };
+        options.crashed = [this](const target_crash& crash) { told_crashes.push_back(crash); };
+        options.decided = [this](const probing_decision& decision)
+        { decisions.push_back(decision); };
+        gateway_object.emplace(options);
+        gateway = gateway_object->gateway();
+        table.revision = 1;
+        service_config& config = table.services["desk"];
+        config.service.name = "desk";
+        config.service.retry_budget_percent = 20;
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            target_row row;
+            row.name = "t" + std::to_string(number);
+            row.address = "10.0.0.1:" + std::to_string(number + 1);
+            row.failure_domain = number % 2 == 0 ? "here" : "there";
+            config.targets.push_back(row);
+            report(row.name);
+        }
+        apply();
+    }
+
+    void apply() { gateway_object->apply(std::make_shared<const table_snapshot>(table)); }
+
+    /// Sets what a target answers from now on.
+    probe_report& report(const std::string& name)
+    {
+        probe_report& out = reports[name];
+        out.answered = true;
+        out.healthy = true;
+        out.name = name;
+        out.load = load_report{.slots = 2};
+        return out;
+    }
+
+    void submit(request_id id, bool retry = false, std::vector<std::string> excluded = {})
+    {
+        admission_request request;
+        request.id = id;
+        request.service = "desk";
+        request.idempotent = true;
+        request.fingerprint = fingerprint;
+        request.objective_left = objective;
+        request.retry = retry;
+        request.excluded_targets = std::move(excluded);
+        gateway.ask(
+            request, [this, id](admission_answer answer) { answers[id] = std::move(answer); });
+    }
+
+    /// Submits a request and runs the time until it is decided.
+    admission_answer decide(request_id id, bool retry = false)
+    {
+        submit(id, retry);
+        for (int step = 0; step < 1000 && !answers.contains(id); ++step)
+        {
+            timers.advance(std::chrono::milliseconds(1));
+        }
+        REQUIRE(answers.contains(id));
+        return answers.at(id);
+    }
+
+    void complete(request_id id, completion_outcome outcome, std::uint16_t status = 200)
+    {
+        completion_report ended;
+        ended.id = id;
+        ended.service = "desk";
+        ended.target = answers.at(id).target;
+        ended.outcome = outcome;
+        ended.status = status;
+        gateway.complete(ended, nullptr);
+    }
+
+    manual_timer_service timers;
+    table_snapshot table;
+    /// Time that requests have left for an answer of full use.
+    duration objective{};
+    std::map<std::string, probe_report> reports;
+    std::vector<std::string> asked;
+    /// Targets that accept no connection.
+    std::set<std::string> crashed;
+    std::vector<target_crash> told_crashes;
+    std::uint64_t fingerprint = 0;
+    std::vector<probing_decision> decisions;
+    std::map<request_id, admission_answer> answers;
+    std::optional<probing_gateway> gateway_object;
+    admission_gateway gateway;
+};
+
+} // namespace catkintally::core
