--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -82,6 +82,8 @@
 """
 
     def start(self):
+        if self.world.stopped:
+            return
         self.runs += 1
         self.stopping = self.ended = False
         path = self.world.directory / f"{self.name}.ini"
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -59,6 +59,7 @@
         self.revivals = set()
         self.version = 0
         self.store_process = None
+        self.stopped = False
 
     def chance(self, share):
         return share > 0 and self.random.random() < share
@@ -210,7 +211,8 @@
             await asyncio.wait(tasks, timeout=10.0)
 
     def stop(self):
-        """Ends every process that this object has started."""
+        """Ends every process that this object has started; a fault that goes on starts no other."""
+        self.stopped = True
         for instance in self.instances:
             if instance.process is not None:
                 instance.kill()
