--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import shutil
+import socket
 import subprocess
 import sys
 import tempfile
@@ -35,6 +36,21 @@
 SETTLE_S = 5.0
 
 
+def free_base(slot):
+    """First port of a free range; another soak may use the first choice."""
+    for attempt in range(10):
+        base = BASE_PORT + attempt * 1000 + slot * PORTS_PER_JOB
+        try:
+            for port in range(base, base + PORTS_PER_JOB):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            continue
+    raise RuntimeError("no free range of ports")
+
+
 class World:
     """One seed: everything that runs, and how it is disturbed."""
 
@@ -43,7 +59,7 @@
         self.random = random.Random(seed)
         self.directory = directory
         self.domains = DOMAINS
-        base = BASE_PORT + slot * PORTS_PER_JOB
+        base = free_base(slot)
         self.store_port = base
         self.instances = [
             instances.Instance(self, number, base + 10, DOMAINS[number % 3]) for number in range(5)]
