Use the one search for free ports; drop what the soak does not use

Read-through of the whole change: the soak had written tools/fleet.py's search for free ports again; it now calls it with a start and a step. Assertions, bounds and the product are unchanged.

--- a/packages/core/tests/news/reader_duty_test.cpp
+++ b/packages/core/tests/news/reader_duty_test.cpp
@@ -68,6 +68,19 @@
         return names;
     }
 
+    /// Lets all readers die without a sign, and the first `others` instances with them.
+    void kill_readers(std::size_t others)
+    {
+        for (const std::string& name : readers())
+        {
+            dead.insert(name);
+        }
+        for (std::size_t index = 0; index < others; ++index)
+        {
+            dead.insert("i" + std::to_string(index));
+        }
+    }
+
     [[nodiscard]] bool is_fresh(const std::string& name) const
     {
         for (const auto& each : members_)
@@ -198,14 +211,7 @@
     all.run(10s);
     for (int round = 0; round < 3 && all.dead.size() + 3 < size; ++round)
     {
-        for (const std::string& name : all.readers())
-        {
-            all.dead.insert(name);
-        }
-        for (std::size_t index = 0; herd && index < size / 4; ++index)
-        {
-            all.dead.insert("i" + std::to_string(index));
-        }
+        all.kill_readers(herd ? size / 4 : 0);
         all.run(4s);
         CHECK(all.worst_age < 1800ms);
         CHECK(!all.readers().empty());
@@ -221,14 +227,7 @@
     all.run(10s);
     for (int round = 0; round < 3 && all.dead.size() + 3 < size; ++round)
     {
-        for (const std::string& name : all.readers())
-        {
-            all.dead.insert(name);
-        }
-        for (std::size_t index = 0; herd && index < size / 4; ++index)
-        {
-            all.dead.insert("i" + std::to_string(index));
-        }
+        all.kill_readers(herd ? size / 4 : 0);
         const int before = all.calls;
         all.run(4s);
         CHECK(all.calls - before < 60);
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -36,9 +36,9 @@
         return status, text
 
 
-def free_base(count):
+def free_base(count, first=12000, step=500):
     """First port of a range in which every port is free, below the range of outgoing ports."""
-    for base in range(12000, 30000, 500):
+    for base in range(first, 30000, step):
         sockets = []
         try:
             for port in range(base, base + count):
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -100,13 +100,13 @@
             await self.close()
             # An idle connection may end just as the request is sent; a run shows it was read.
             if request.request in checks.reached:
-                checks.cut(request, self.instance.stopping, time.monotonic())
+                checks.cut(request, self.instance.stopping)
             return "cut", 0.0
         line, fields = head
         status = int(line.split()[1])
         expected = [body_of(name, path, body) for name in service.split("|")]
-        checks.answered(request, status, time.monotonic(),
-                        fields.get("x-catkintally-upstream-signature"), answer, expected)
+        checks.answered(request, status, fields.get("x-catkintally-upstream-signature"), answer,
+                        expected)
         if fields.get("connection", "").lower() == "close":
             await self.close()
         return status, float(fields.get("retry-after", "0"))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -62,7 +62,7 @@
         self.requests[request.request] = request
         self.firsts[request.service].append(request.sent_at)
 
-    def answered(self, request, status, now, signature=None, body=b"", expected=()):
+    def answered(self, request, status, signature=None, body=b"", expected=()):
         request.status = status
         if status in PROMISES:
             request.promised = True
@@ -73,9 +73,9 @@
                 self.broken("mixed", f"{request.request} got {status} that no target gave")
             elif body not in expected:
                 self.broken("mixed", f"{request.request} got another body")
-        self.check_route(request, status, now)
+        self.check_route(request, status)
 
-    def check_route(self, request, status, now):
+    def check_route(self, request, status):
         """A route that was added is found two seconds later, and for good once it was found."""
         since = self.routes_since.get(request.path.split("/")[1])
         if since is None:
@@ -89,7 +89,7 @@
             self.broken("config", f"{request.instance} does not know {request.path} "
                                   f"{request.sent_at - since:.1f} s after its acknowledgement")
 
-    def cut(self, request, stopping, now):
+    def cut(self, request, stopping):
         """A whole request was read and its connection ended without an answer."""
         if stopping and request.sent_at - self.settled_since() >= CONTACT_S:
             self.broken("lost", f"{request.request} was cut by the planned stop of "
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -131,7 +131,7 @@
     domain = pick.choice(world.domains)
     if world.checks.evacuated:
         return
-    if (await world.store("evacuations", domain, {}))[0] in (200, 201):
+    if await world.store("evacuations", domain, {}):
         world.checks.evacuated[domain] = time.monotonic()
         await asyncio.sleep(pick.uniform(1.0, 8.0))
         # The callers' requests under way may still arrive, so the bound ends before the recall.
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -8,13 +8,14 @@
 import contextlib
 import random
 import shutil
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 from pathlib import Path
 
+from tools.fleet import free_base
+
 from . import faults, http_text, instances
 from .callers import Caller
 from .checks import WARMUP_PER_S, Checks
@@ -25,6 +26,8 @@
 CALLERS = 24
 BASE_PORT = 13000
 PORTS_PER_JOB = 100
+# To the next choice, if another soak uses the first one.
+PORT_STEP = 1000
 # Phases: start, faults, planned work on a calm system, end. In seconds.
 PHASES = {False: (2.0, 14.0, 9.0), True: (1.0, 5.0, 6.0)}
 # Seeds that once found a fault, with its cause.
@@ -36,21 +39,6 @@
 SETTLE_S = 5.0
 
 
-def free_base(slot):
-    """First port of a free range; another soak may use the first choice."""
-    for attempt in range(10):
-        base = BASE_PORT + attempt * 1000 + slot * PORTS_PER_JOB
-        try:
-            for port in range(base, base + PORTS_PER_JOB):
-                with socket.socket() as probe:
-                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind(("127.0.0.1", port))
-            return base
-        except OSError:
-            continue
-    raise RuntimeError("no free range of ports")
-
-
 class World:
     """One seed: everything that runs, and how it is disturbed."""
 
@@ -59,7 +47,7 @@
         self.random = random.Random(seed)
         self.directory = directory
         self.domains = DOMAINS
-        base = free_base(slot)
+        base = free_base(PORTS_PER_JOB, BASE_PORT + slot * PORTS_PER_JOB, PORT_STEP)
         self.store_port = base
         self.instances = [
             instances.Instance(self, number, base + 10, DOMAINS[number % 3]) for number in range(5)]
@@ -87,12 +75,12 @@
             yield
 
     async def store(self, kind, name, spec):
-        """Writes an object as an operator or a target does, past all proxies."""
+        """Writes an object as an operator or a target does, past all proxies; true if accepted."""
         body = {"metadata": {"name": name}, "spec": spec}
         status, _ = await http_text.call(self.store_port, "PUT", f"/v1/objects/{kind}/{name}", body)
         if status == 404:
             status, _ = await http_text.call(self.store_port, "POST", f"/v1/objects/{kind}", body)
-        return status, None
+        return status in (200, 201)
 
     async def remove_until_gone(self, kind, name):
         """Removes an object; a store that is away is asked again."""
@@ -132,15 +120,14 @@
                   for each in range(1, version + 1)]
         clusters = [{"name": name, "health-path": "/healthz", "max-connections": 200,
                      "warmup-s": 3.0, "warmup-per-s": WARMUP_PER_S} for name in ("lookup", "order")]
-        status, _ = await self.store("config", "main", {
+        accepted = await self.store("config", "main", {
             "version": f"{version:08x}",
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576,
                        "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "listeners": [{"host": "soak.example", "rules": rules}], "clusters": clusters})
-        if status in (200, 201):
+        if accepted:
             self.version = version
             self.checks.routes_since[f"v{version}"] = time.monotonic()
-        return status
 
     def choose_instance(self):
         ready = [each for each in self.instances if each.ready]
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -42,7 +42,6 @@
         self.cold_until = 0.0
         self.server = None
         self.proxy = Proxy(0)
-        self.registered = False
 
     @property
     def name(self):
@@ -66,14 +65,12 @@
         """Writes the registration; True once the store has accepted it."""
         self.sequence += 1
         left = max(0, int((self.cold_until - time.monotonic()) * 1000))
-        status, _ = await self.world.store(
+        return await self.world.store(
             "servers", self.name,
             {"address": f"127.0.0.1:{self.proxy.port}", "born": self.incarnation,
              "info": {"service": self.service, "version": "v1", "zone": self.domain,
                       "concurrency": self.slots},
              "status": {"state": self.state, "sequence": self.sequence, "warmup-left-ms": left}})
-        self.registered = self.registered or status in (200, 201)
-        return status in (200, 201)
 
     async def report_until_accepted(self):
         while self.up and not await self.report():
@@ -89,8 +86,7 @@
 
     async def remove(self):
         """Takes the registration of this incarnation back, as the platform does after silence."""
-        name = self.name
-        await self.world.remove_until_gone("servers", name)
+        await self.world.remove_until_gone("servers", self.name)
 
     async def leave(self):
         """Drains: reports it, serves on for a while, and ends."""
--- a/tools/soak/test_checks.py
+++ b/tools/soak/test_checks.py
@@ -19,23 +19,23 @@
     "twice": lambda c: (order(c), c.ran(Place, "r1", "POST", "/o/1", b"x"),
                         c.ran(Place, "r1", "POST", "/o/1", b"x")),
     "refused": lambda c: (c.ran(Place, order(c).request, "POST", "/o/1", b"x"),
-                          c.answered(c.requests["r1"], 503, 10.1)),
+                          c.answered(c.requests["r1"], 503)),
     "unasked": lambda c: c.ran(Place, "nobody", "POST", "/o/1", b"x"),
     "route": lambda c: (order(c), c.requests["r1"].__setattr__("service", "lookup"),
                         c.ran(Place, "r1", "POST", "/o/1", b"x")),
-    "mixed": lambda c: c.answered(order(c), 200, 10.1),
+    "mixed": lambda c: c.answered(order(c), 200),
     "drain": lambda c: (c.draining("t1", 7.0), c.arrived(Place, "r1", 9.1)),
     "evacuation": lambda c: (c.evacuated.update(a=4.0), c.arrived(Place, "r1", 9.1)),
     "cold": lambda c: [c.arrived(Place, f"r{n}", 9.0 + n / 100) for n in range(12)],
     "config": lambda c: (c.routes_since.update(v1=7.0),
-                         c.answered(order(c, 9.1, "/v1/1"), 404, 9.2)),
+                         c.answered(order(c, 9.1, "/v1/1"), 404)),
     "regress": lambda c: (c.routes_since.update(v1=9.0),
-                          c.answered(order(c, 9.1, "/v1/1"), 200, 9.2, "t1", b"", (b"",)),
-                          c.answered(c.requests["r1"], 404, 9.3)),
+                          c.answered(order(c, 9.1, "/v1/1"), 200, "t1", b"", (b"",)),
+                          c.answered(c.requests["r1"], 404)),
     "crashing": lambda c: (c.sent(Request("r1", "i0", "GET", "/c", b"", True, "order", 10.0)),
                            [c.ran(Place, "r1", "GET", "/c", b"") for _ in range(7)],
                            c.crashing("/c", 9.0)),
-    "lost": lambda c: c.cut(order(c), True, 10.1),
+    "lost": lambda c: c.cut(order(c), True),
     "recover": lambda c: (order(c), c.finish(9.0)),
     "retries": lambda c: (order(c), [c.arrived(Place, "r1", 8 + n / 100) for n in range(60)],
                           c.finish(99.0)),
@@ -64,7 +64,7 @@
         request = order(checks)
         checks.arrived(Place, "r1", 10.0)
         checks.ran(Place, "r1", "POST", "/o/1", b"x")
-        checks.answered(request, 200, 10.1, "t1", b"ok", (b"ok",))
+        checks.answered(request, 200, "t1", b"ok", (b"ok",))
         checks.finish(9.0)
         self.assertEqual(checks.violations, [])
 
