Let few instances turn to the store when hundreds start together

Links came up in waves a second apart (-9.9, -8.9, -7.4 s): the listener for other instances held 128 waiting connections, 314 dialed each seed at once, and the system sends the lost first packet again only after a second. The same after a loss of power: a seed that is still dark misses the first packet. An instance without a link turned to the store within 150 ms. One with a link heard a reader's word only up to a second later.

- The listener's queue holds 4096; a dial is given up after 100 ms at first.
- A new link carries the latest words of the readers with their age, and a word that came before its news is taken when they arrive.
- The start spread is 1 s (150 ms), and an instance that awaits a neighbour's answer puts its first read off once.
- The answer to a pull is encoded once for all that ask; digests are kept up to date.
- The first list of targets is one log line: 810 lines used up the log's allowance.

Also found: with one reader failing, every instance planned to become the second reader within two seconds, without regard to those that asked already (42 of 120 in 0.7 s in virtual time at a store that falls silent). They count now.

Ruled out: processor time (the same without it). Not taken: letting a seed name others that know the news; three seeds with 200 Mbit/s send all answers in about 0.4 s as they are.

Tests fail without each guard (75 and 300 of 471 and 2413 volunteers, 129 of 600 connections, no word at an instance that starts).

--- a/packages/core/include/catkintally/core/news/reader_duty.hpp
+++ b/packages/core/include/catkintally/core/news/reader_duty.hpp
@@ -33,12 +33,15 @@
     /// Instances that miss the news turn to the store at random within this span, so that the first
     /// of them can tell the others.
     duration spread = std::chrono::milliseconds(150);
-    /// As `spread`, for an instance that starts.
-    duration start_spread = std::chrono::milliseconds(150);
+    /// As `spread`, for an instance that starts. Longer, since all may start together and then need
+    /// some hundred milliseconds until their links are up and a first one can tell the others.
+    duration start_spread = std::chrono::seconds(1);
     /// Estimated number of live instances.
     std::function<std::size_t()> instances;
     /// Starts or stops reading the store.
     std::function<void(bool)> read;
+    /// True while a neighbour is to answer with the news; may be empty.
+    std::function<bool()> awaits_news{};
     /// News are heard of again after they were stale.
     std::function<void()> fresh_again{};
 };
@@ -116,6 +119,8 @@
     bool reading_ = false;
     bool was_fresh_ = false;
     need planned_ = need::none;
+    /// The first read was put off because a neighbour was to answer.
+    bool put_off_ = false;
     time_point reading_since_{};
     timer_id check_timer_ = 0;
     timer_id volunteer_timer_ = 0;
--- a/packages/core/src/news/reader_duty.cpp
+++ b/packages/core/src/news/reader_duty.cpp
@@ -240,9 +240,10 @@
                    ? need::another_try
                    : need::news;
     }
-    return fresh_readers() < options_.wanted_readers && options_.instances() > 1
-               ? need::second_reader
-               : need::none;
+    // Instances that ask already count, and with several failing a further one would fail, too.
+    const bool covered = fresh_readers() + asking_readers() >= options_.wanted_readers ||
+                         failing_readers() >= enough_failing;
+    return !covered && options_.instances() > 1 ? need::second_reader : need::none;
 }
 
 void reader_duty::plan(need wanted)
@@ -267,7 +268,7 @@
             (2 * static_cast<duration::rep>(std::max<std::size_t>(options_.instances(), 1))));
         break;
     case need::second_reader:
-        delay = milliseconds(50) + random_within(replacement);
+        delay = milliseconds(50) + suppression_delay(replacement);
         break;
     }
     volunteer_timer_ = options_.timers->schedule_after(
@@ -282,6 +283,14 @@
 void reader_duty::volunteer()
 {
     planned_ = need::none;
+    const bool may_put_off = !last_reached_ && !std::exchange(put_off_, true);
+    if (may_put_off && options_.awaits_news && options_.awaits_news())
+    {
+        // A neighbour that answers hundreds of others needs a moment. Once, so that one that never
+        // answers does not keep this instance from its news.
+        plan(need::news);
+        return;
+    }
     if (!reading_ && current_need() != need::none)
     {
         set_reading(true);
--- a/packages/core/tests/news/reader_duty_test.cpp
+++ b/packages/core/tests/news/reader_duty_test.cpp
@@ -18,13 +18,16 @@
 class fleet
 {
 public:
-    explicit fleet(std::size_t size)
+    /// Links come up within `linked_within` of the start, the first ones at once.
+    explicit fleet(std::size_t size, duration linked_within = duration::zero())
     {
         for (std::size_t index = 0; index < size; ++index)
         {
             members_.push_back(std::make_unique<member>());
             member& added = *members_.back();
             added.name = "i" + std::to_string(index);
+            added.linked_at =
+                timers.now() + linked_within * static_cast<int>(index) / static_cast<int>(size);
             added.duty = std::make_unique<reader_duty>(reader_duty_options{
                 .timers = &timers,
                 .self = added.name,
@@ -103,6 +106,8 @@
     /// Calls are not answered at all.
     bool store_silent = false;
     int calls = 0;
+    /// How often an instance turned to the store.
+    int volunteers = 0;
     /// Longest time without a reader's word at any living instance.
     duration worst_age{};
 
@@ -112,6 +117,7 @@
         std::string name;
         std::unique_ptr<reader_duty> duty;
         timer_id next_call = 0;
+        time_point linked_at{};
     };
 
     void on_read(member& self, bool reading)
@@ -120,6 +126,7 @@
         self.next_call = 0;
         if (reading)
         {
+            ++volunteers;
             tell(self, reader_state::asking);
             self.next_call = timers.schedule_after(5ms, [this, &self] { call(self); });
         }
@@ -151,13 +158,15 @@
 
     void tell(const member& self, reader_state state)
     {
+        // Told on once the links are up; a new link is told of readers that ask already.
         timers.schedule_after(
-            15ms,
+            std::max(self.linked_at - timers.now(), duration::zero()) + 15ms,
             [this, name = self.name, state]
             {
                 for (const auto& each : members_)
                 {
                     const bool hears = each->name != name && !dead.contains(each->name) &&
+                                       timers.now() >= each->linked_at &&
                                        !alone.contains(each->name) && !alone.contains(name);
                     if (hears)
                     {
@@ -201,6 +210,44 @@
     }
 }
 
+// Guards against a large fleet that returns from a loss of power and turns to the store as a whole,
+// because the links over which the first reader could tell the others take a moment to come up. A
+// day's calls are to stay under 400, and each instance that turns to the store makes about five.
+TEST_CASE("few of hundreds of instances turn to the store after a herd start")
+{
+    const std::size_t size = GENERATE(117, 471, 2413);
+    fleet all(size, 150ms);
+    all.run(1s);
+    INFO(all.volunteers << " instances turned to the store");
+    CHECK(all.volunteers <= 40);
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        CHECK(all.is_fresh("i" + std::to_string(index)));
+    }
+}
+
+// Guards against instances that turn to the store at a herd start although a neighbour is about to
+// answer, and against one that waits for such an answer for ever.
+TEST_CASE("an instance that starts waits once for a neighbour that is to answer")
+{
+    const bool awaits = GENERATE(false, true);
+    manual_timer_service timers;
+    int reads = 0;
+    reader_duty duty(
+        {.timers = &timers,
+         .self = "i1",
+         .seed = 1,
+         .start_spread = 1s,
+         .instances = [] { return std::size_t{1}; },
+         .read = [&](bool reading) { reads += reading ? 1 : 0; },
+         .awaits_news = [&] { return awaits; }});
+    duty.start();
+    timers.advance(1s);
+    CHECK(reads == (awaits ? 0 : 1));
+    timers.advance(1s);
+    CHECK(reads == 1);
+}
+
 // Guards against instances that run on old news after their readers died without a sign: a change
 // must be in force within two seconds, also at that moment.
 TEST_CASE("readers that fall silent are replaced before news are two seconds old")
@@ -278,7 +325,7 @@
 // before its time is over, and by then all had asked.
 TEST_CASE("few instances ask a store that falls silent, and its return is noticed")
 {
-    const std::size_t size = GENERATE(13, 120);
+    const std::size_t size = GENERATE(13, 120, 471);
     fleet all(size);
     all.run(10s);
     all.store_silent = true;
--- a/packages/entry/include/catkintally/entry/news/news_exchange.hpp
+++ b/packages/entry/include/catkintally/entry/news/news_exchange.hpp
@@ -76,6 +76,9 @@
     /// Estimated number of live instances, this one included.
     [[nodiscard]] std::size_t instances() const { return book_.instances(); }
 
+    /// True while a neighbour's answer to a pull is awaited.
+    [[nodiscard]] bool awaits_news() const;
+
     /// Live instances by failure domain. Until others could make themselves known, more are assumed
     /// than are known.
     [[nodiscard]] core::fleet_size fleet() const;
@@ -83,10 +86,17 @@
     [[nodiscard]] const peer_counters& counters() const { return network_.counters(); }
 
 private:
-    struct reader_state
+    /// Word of a reader, and when it came.
+    struct heard_word
+    {
+        wire::reader_word_data word;
+        core::time_point at{};
+    };
+    /// The answer to pulls, encoded once for all that ask.
+    struct encoded_whole
     {
-        std::uint64_t sequence = 0;
-        core::time_point heard{};
+        object_state state;
+        std::string frame;
     };
 
     void on_linked(const core::member_id& peer);
@@ -94,6 +104,13 @@
     void on_update(const core::member& from, const wire::news_update_data& message);
     void on_pull(const core::member& from, const wire::news_pull_data& message);
     void on_word(const core::member& from, const wire::reader_word_data& message);
+    /// Takes and passes on a word, unless a newer one of its reader was taken.
+    void take_word(const core::member_id& from, const heard_word& heard);
+    /// Takes the words that waited for news that have come meanwhile.
+    void take_awaited_words(const core::member_id& from);
+    /// True if what is known here is as new as this.
+    [[nodiscard]] static bool
+    covers(const std::map<std::string, object_state>& own, const wire::news_state_data& known);
     void on_sample(const wire::peer_sample_data& message);
     /// Asks for what is missing; true if nothing is.
     bool pull_missing(
@@ -102,7 +119,7 @@
     void pull(const core::member_id& from, const std::string& prefix);
     void on_crash(const core::member& from, const wire::crash_notice_data& message);
     [[nodiscard]] wire::payloadUnion notice_of(const core::target_crash& crash) const;
-    [[nodiscard]] wire::payloadUnion word(wire::reader_state state);
+    [[nodiscard]] wire::reader_word_data word(wire::reader_state state);
     [[nodiscard]] wire::payloadUnion greeting();
     void exchange_peers();
 
@@ -111,7 +128,10 @@
     peer_network network_;
     std::uint64_t sequence_ = 0;
     /// Newest word of each reader that was passed on.
-    std::map<std::string, reader_state> readers_;
+    std::map<std::string, heard_word> readers_;
+    /// Newest words of readers that know more than this instance.
+    std::map<std::string, heard_word> awaited_;
+    std::map<std::string, encoded_whole> wholes_;
     /// When everything under a prefix was asked for last.
     std::map<std::string, core::time_point> pulled_;
     std::vector<std::string> neighbours_;
--- a/packages/entry/include/catkintally/entry/peers/peer_link.hpp
+++ b/packages/entry/include/catkintally/entry/peers/peer_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/fleet/member.hpp>
+#include <catkintally/core/time/timer_service.hpp>
 #include <catkintally/entry/peers/peer_counters.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 
@@ -55,6 +56,8 @@
     peer_counters* counters = nullptr;
     /// Bytes that may wait for a peer that does not read.
     std::size_t max_output_bytes = std::size_t{8} << 20;
+    /// Time for a connection to stand.
+    core::duration connect_time = std::chrono::seconds(2);
 };
 
 /// One TCP connection to another instance. The dialing side sends a hello, the accepting side
@@ -103,6 +106,7 @@
     std::optional<core::member> peer_;
     std::uint64_t peer_nonce_ = 0;
     bool dialed_ = false;
+    bool connected_ = false;
     bool up_ = false;
     bool ended_ = false;
 };
--- a/packages/entry/include/catkintally/entry/peers/peer_network.hpp
+++ b/packages/entry/include/catkintally/entry/peers/peer_network.hpp
@@ -54,6 +54,9 @@
     /// Sends a message; it is lost if there is no link to the member.
     void send(const core::member_id& to, const wire::payloadUnion& message);
 
+    /// As send(), for a message that is encoded already.
+    void send_frame(const core::member_id& to, const std::string& frame);
+
     /// Sends a message once to each member with a link, but for `except`.
     void send_to_all(const wire::payloadUnion& message, const core::member_id& except);
 
@@ -89,6 +92,7 @@
 
     void refresh_dials();
     void dial(const std::string& address);
+    [[nodiscard]] core::duration connect_time_of(const std::string& address) const;
     void dial_later(const std::string& address);
     peer_link&
     add_link(link_number number, const std::string& address, const std::string& expected_instance);
--- a/packages/entry/include/catkintally/entry/table/object_mirror.hpp
+++ b/packages/entry/include/catkintally/entry/table/object_mirror.hpp
@@ -102,7 +102,7 @@
     [[nodiscard]] std::uint64_t version() const { return version_; }
 
     /// Version and digest.
-    [[nodiscard]] object_state state() const { return {.version = version_, .digest = digest()}; }
+    [[nodiscard]] object_state state() const { return {.version = version_, .digest = digest_}; }
 
     /// The prefix, as a name in logs.
     [[nodiscard]] const std::string& prefix() const { return options_.prefix; }
@@ -114,10 +114,11 @@
     void take_list(const core::store_list_result& answer);
     void take_events(const core::store_list_result& answer);
     bool apply(const std::vector<core::store_object>& changes);
-    [[nodiscard]] std::uint64_t digest() const;
 
     object_mirror_options options_;
     std::map<std::string, core::store_object> objects_;
+    /// Of all objects; independent of the order in which changes arrived.
+    std::uint64_t digest_ = 0;
     std::uint64_t version_ = 0;
     /// Store version that the last answer reflects; watches go on from here.
     std::uint64_t watched_ = 0;
--- a/packages/entry/include/catkintally/entry/table/target_registry.hpp
+++ b/packages/entry/include/catkintally/entry/table/target_registry.hpp
@@ -57,7 +57,7 @@
         std::optional<core::time_point> remembered_until;
     };
 
-    void take(const core::store_object& object);
+    void take(const core::store_object& object, bool log_additions);
     [[nodiscard]] static bool is_used(const entry& checked);
 
     target_registry_options options_;
--- a/packages/entry/src/news/news_exchange.cpp
+++ b/packages/entry/src/news/news_exchange.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/entry/news/news_exchange.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
+#include <catkintally/wire/codec/frame_codec.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
 
 #include <algorithm>
@@ -27,6 +28,9 @@
 /// An answer to a pull is awaited this long before another neighbour is asked.
 constexpr auto pull_patience = milliseconds(200);
 
+/// Older words are not told to an instance that starts: it would not take them for news.
+constexpr auto longest_told_age = milliseconds(1500);
+
 /// Words of readers that were silent for this long are forgotten.
 constexpr auto reader_memory = std::chrono::seconds(30);
 
@@ -159,8 +163,11 @@
         sample.peers.push_back(std::move(peer));
     }
     network_.send_to_all(wire::make_message(std::move(sample)), {});
-    std::erase_if(
-        readers_, [now](const auto& each) { return now - each.second.heard > reader_memory; });
+    for (auto* words : {&readers_, &awaited_})
+    {
+        std::erase_if(
+            *words, [now](const auto& each) { return now - each.second.at > reader_memory; });
+    }
 
     const bool first = exchange_timer_ == 0;
     exchange_timer_ = options_.timers->schedule_after(
@@ -179,7 +186,7 @@
     network_.send_to_all(greeting(), {});
 }
 
-wire::payloadUnion news_exchange::word(wire::reader_state state)
+wire::reader_word_data news_exchange::word(wire::reader_state state)
 {
     wire::reader_word_data data;
     data.reader = core::to_text(options_.self.id);
@@ -193,12 +200,14 @@
         known->digest = state.digest;
         data.known.push_back(std::move(known));
     }
-    return wire::make_message(std::move(data));
+    return data;
 }
 
 void news_exchange::tell_reader_state(wire::reader_state state)
 {
-    network_.send_to_all(word(state), {});
+    wire::reader_word_data told = word(state);
+    readers_[told.reader] = {.word = told, .at = options_.timers->now()};
+    network_.send_to_all(wire::make_message(std::move(told)), {});
 }
 
 wire::payloadUnion news_exchange::notice_of(const core::target_crash& crash) const
@@ -250,14 +259,26 @@
 wire::payloadUnion news_exchange::greeting()
 {
     // Says what is known here, without a claim about the store.
-    wire::payloadUnion message = word(wire::reader_state::failed);
-    message.Asreader_word()->reader.clear();
-    return message;
+    wire::reader_word_data data = word(wire::reader_state::failed);
+    data.reader.clear();
+    return wire::make_message(std::move(data));
 }
 
 void news_exchange::on_linked(const core::member_id& peer)
 {
     network_.send(peer, greeting());
+    // An instance that starts needs no word of the next second to trust the news, and learns which
+    // instances ask the store already.
+    const auto now = options_.timers->now();
+    for (const auto& [reader, heard] : readers_)
+    {
+        wire::reader_word_data told = heard.word;
+        told.age_ms += milliseconds_of(now - heard.at);
+        if (told.age_ms < longest_told_age.count())
+        {
+            network_.send(peer, wire::make_message(std::move(told)));
+        }
+    }
     for (const core::target_crash& crash : options_.suspected_crashes())
     {
         network_.send(peer, notice_of(crash));
@@ -305,6 +326,7 @@
     {
     case update_result::applied:
         network_.send_to_all(update.whole ? greeting() : message_of(update), from.id);
+        take_awaited_words(from.id);
         break;
     case update_result::gap:
         pull(from.id, update.prefix);
@@ -330,12 +352,49 @@
     network_.send(from, wire::make_message(std::move(data)));
 }
 
+bool news_exchange::awaits_news() const
+{
+    const auto now = options_.timers->now();
+    return std::any_of(
+        pulled_.begin(), pulled_.end(),
+        [now](const auto& each) { return now - each.second < 2 * pull_patience; });
+}
+
 void news_exchange::on_pull(const core::member& from, const wire::news_pull_data& message)
 {
-    if (const auto known = options_.whole(message.prefix))
+    const auto states = options_.states();
+    const auto found = states.find(message.prefix);
+    if (found == states.end())
     {
-        network_.send(from.id, message_of(*known));
+        return;
+    }
+    encoded_whole& encoded = wholes_[message.prefix];
+    const object_state& state = found->second;
+    if (encoded.frame.empty() || encoded.state.digest != state.digest ||
+        encoded.state.version != state.version)
+    {
+        const auto known = options_.whole(message.prefix);
+        const auto frame = known ? wire::encode_frame(message_of(*known))
+                                 : boost::leaf::result<std::string>(std::string());
+        if (!frame)
+        {
+            // More objects than one message takes; the asker turns to the store.
+            runtime::log_event(
+                runtime::event_id::news_too_large,
+                {{"kind", message.prefix}, {"asked_by", core::to_text(from.id)}});
+            return;
+        }
+        encoded = {.state = state, .frame = *frame};
     }
+    network_.send_frame(from.id, encoded.frame);
+}
+
+bool news_exchange::covers(
+    const std::map<std::string, object_state>& own, const wire::news_state_data& known)
+{
+    const auto found = own.find(known.prefix);
+    return found != own.end() &&
+           (found->second.digest == known.digest || found->second.version > known.version);
 }
 
 bool news_exchange::pull_missing(
@@ -345,9 +404,7 @@
     bool complete = true;
     for (const auto& each : known)
     {
-        const auto found = own.find(each->prefix);
-        const bool same = found != own.end() && found->second.digest == each->digest;
-        if (!same && (found == own.end() || found->second.version <= each->version))
+        if (!covers(own, *each))
         {
             complete = false;
             pull(from, each->prefix);
@@ -364,15 +421,57 @@
     {
         return;
     }
+    const heard_word heard{.word = message, .at = options_.timers->now()};
+    if (complete)
+    {
+        take_word(from.id, heard);
+        return;
+    }
+    const auto awaited = awaited_.find(name);
+    if (awaited == awaited_.end() || awaited->second.word.sequence < message.sequence)
+    {
+        awaited_.insert_or_assign(name, heard);
+    }
+}
+
+void news_exchange::take_word(const core::member_id& from, const heard_word& heard)
+{
     // A word is taken and passed on once, by instances that know what its reader knows.
+    const std::string& name = heard.word.reader;
     const auto known = readers_.find(name);
-    if (!complete || (known != readers_.end() && known->second.sequence >= message.sequence))
+    if (known != readers_.end() && known->second.word.sequence >= heard.word.sequence)
     {
         return;
     }
-    readers_[name] = {.sequence = message.sequence, .heard = options_.timers->now()};
-    network_.send_to_all(wire::make_message(wire::reader_word_data(message)), from.id);
-    options_.heard_reader(name, message.state, milliseconds(message.age_ms));
+    readers_.insert_or_assign(name, heard);
+    wire::reader_word_data told = heard.word;
+    told.age_ms += milliseconds_of(options_.timers->now() - heard.at);
+    const auto age = milliseconds(told.age_ms);
+    network_.send_to_all(wire::make_message(std::move(told)), from);
+    options_.heard_reader(name, heard.word.state, age);
+}
+
+void news_exchange::take_awaited_words(const core::member_id& from)
+{
+    const auto own = options_.states();
+    std::vector<heard_word> ready;
+    std::erase_if(
+        awaited_,
+        [&](const auto& each)
+        {
+            const auto& known = each.second.word.known;
+            const bool complete = std::all_of(
+                known.begin(), known.end(), [&](const auto& state) { return covers(own, *state); });
+            if (complete)
+            {
+                ready.push_back(each.second);
+            }
+            return complete;
+        });
+    for (const heard_word& each : ready)
+    {
+        take_word(from, each);
+    }
 }
 
 void news_exchange::on_sample(const wire::peer_sample_data& message)
--- a/packages/entry/src/peers/peer_link.cpp
+++ b/packages/entry/src/peers/peer_link.cpp
@@ -69,7 +69,7 @@
         }
         else if ((what & BEV_EVENT_TIMEOUT) != 0)
         {
-            self->end(link_end::hello_timeout, "");
+            self->end(self->connected_ ? link_end::hello_timeout : link_end::disconnected, "");
         }
         else
         {
@@ -117,12 +117,18 @@
 void peer_link::prepare()
 {
     bufferevent_setcb(buffer_, &callbacks::on_read, nullptr, &callbacks::on_event, this);
-    bufferevent_set_timeouts(buffer_, &hello_limit, &hello_limit);
+    const auto whole = std::chrono::duration_cast<std::chrono::microseconds>(options_.connect_time);
+    const timeval limit{
+        .tv_sec = static_cast<time_t>(whole.count() / 1'000'000),
+        .tv_usec = static_cast<suseconds_t>(whole.count() % 1'000'000)};
+    bufferevent_set_timeouts(buffer_, &limit, &limit);
     bufferevent_enable(buffer_, EV_READ | EV_WRITE);
 }
 
 void peer_link::connected()
 {
+    connected_ = true;
+    bufferevent_set_timeouts(buffer_, &hello_limit, &hello_limit);
     // Small messages decide on waiting requests, so they are not delayed for larger segments.
     const int on = 1;
     const int socket = bufferevent_getfd(buffer_);
--- a/packages/entry/src/peers/peer_network.cpp
+++ b/packages/entry/src/peers/peer_network.cpp
@@ -29,6 +29,11 @@
 constexpr core::duration first_back_off = milliseconds(50);
 constexpr core::duration longest_back_off = milliseconds(1000);
 
+/// Time for a new connection in the first attempts; later ones get twice the back-off. A machine
+/// that gets its power back misses the first packet, and the system would send it again only after
+/// a second. Round trips within a region take a few milliseconds.
+constexpr core::duration first_connect_time = milliseconds(100);
+
 /// Nonces must not be predictable, so they do not come from the seeded generator.
 std::uint64_t random_nonce()
 {
@@ -39,6 +44,10 @@
     return nonce | 1U;
 }
 
+/// Connections that wait to be accepted. All instances may start together and dial the same seeds;
+/// a connection beyond this number is tried again by its system only after a second.
+constexpr int backlog = 4'096;
+
 /// Accepted links beyond this number are refused; a fleet is far smaller.
 constexpr std::size_t most_links = 1'000;
 
@@ -89,7 +98,7 @@
     }
     listener_.reset(evconnlistener_new_bind(
         options_.loop->base(), &callbacks::on_accept, this,
-        LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, -1,
+        LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, backlog,
         reinterpret_cast<sockaddr*>(&storage), size));
     if (!listener_)
     {
@@ -183,10 +192,19 @@
         },
         .ended = [this, number, address](link_end reason, const std::string& detail)
         { link_ended(number, address, reason, detail); },
-        .counters = &counters_});
+        .counters = &counters_,
+        .connect_time = connect_time_of(address)});
     return *links_.emplace(number, std::move(link)).first->second;
 }
 
+core::duration peer_network::connect_time_of(const std::string& address) const
+{
+    const auto dialed = dials_.find(address);
+    const core::duration back_off =
+        dialed == dials_.end() ? core::duration::zero() : dialed->second.back_off;
+    return std::max(first_connect_time, 2 * back_off);
+}
+
 void peer_network::dial(const std::string& address)
 {
     dial_state& state = dials_.at(address);
@@ -329,6 +347,16 @@
     link->send(*frame);
 }
 
+void peer_network::send_frame(const core::member_id& to, const std::string& frame)
+{
+    if (peer_link* link = find_link(to))
+    {
+        link->send(frame);
+        return;
+    }
+    ++counters_.messages_unsent;
+}
+
 void peer_network::send_to_all(const wire::payloadUnion& message, const core::member_id& except)
 {
     const auto frame = wire::encode_frame(message);
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -158,6 +158,7 @@
             }
             follower_->set_reading(reading);
         },
+        .awaits_news = [this] { return news_->awaits_news(); },
         .fresh_again = [this] { follower_->note_regained(); }});
     news_ = std::make_unique<news_exchange>(news_exchange_options{
         .loop = &loop_,
--- a/packages/entry/src/table/object_mirror.cpp
+++ b/packages/entry/src/table/object_mirror.cpp
@@ -31,6 +31,12 @@
     };
 }
 
+/// Part of an object in the digest of all.
+std::uint64_t digest_of(const core::store_object& object)
+{
+    return core::split_mix(std::hash<std::string>()(object.key) + object.version).next();
+}
+
 } // namespace
 
 object_mirror::object_mirror(object_mirror_options options)
@@ -128,10 +134,7 @@
     watched_ = answer.version;
     if (!is_listed())
     {
-        for (const core::store_object& object : answer.objects)
-        {
-            objects_.emplace(object.key, object);
-        }
+        apply(answer.objects);
         version_ = answer.version;
         options_.updated(whole());
         options_.changed();
@@ -161,7 +164,7 @@
     if (apply(update.objects))
     {
         version_ = std::max(version_, answer.version);
-        update.digest = digest();
+        update.digest = digest_;
         options_.updated(update);
         options_.changed();
     }
@@ -175,23 +178,12 @@
     if (!answer.objects.empty() && apply(answer.objects))
     {
         version_ = std::max(version_, answer.version);
-        update.digest = digest();
+        update.digest = digest_;
         options_.updated(update);
         options_.changed();
     }
 }
 
-std::uint64_t object_mirror::digest() const
-{
-    // Independent of the order in which changes arrived.
-    std::uint64_t sum = 0;
-    for (const auto& [key, object] : objects_)
-    {
-        sum += core::split_mix(std::hash<std::string>()(key) + object.version).next();
-    }
-    return sum;
-}
-
 bool object_mirror::apply(const std::vector<core::store_object>& changes)
 {
     bool any = false;
@@ -202,14 +194,16 @@
         {
             continue;
         }
-        if (!change.deleted)
+        if (known != objects_.end())
         {
-            objects_[change.key] = change;
+            digest_ -= digest_of(known->second);
+            objects_.erase(known);
             any = true;
         }
-        else if (known != objects_.end())
+        if (!change.deleted)
         {
-            objects_.erase(known);
+            digest_ += digest_of(change);
+            objects_[change.key] = change;
             any = true;
         }
     }
@@ -229,9 +223,10 @@
     if (update.whole)
     {
         objects_.clear();
+        digest_ = 0;
     }
     const bool changed = apply(update.objects) || update.whole;
-    if (!update.whole && digest() != update.digest)
+    if (!update.whole && digest_ != update.digest)
     {
         if (changed)
         {
@@ -252,7 +247,7 @@
     object_update update{
         .prefix = options_.prefix,
         .version = version_,
-        .digest = digest(),
+        .digest = digest_,
         .whole = true,
         .objects = {}};
     for (const auto& [key, object] : objects_)
--- a/packages/entry/src/table/target_registry.cpp
+++ b/packages/entry/src/table/target_registry.cpp
@@ -53,9 +53,17 @@
     core::time_point now,
     core::time_point trusted_from)
 {
+    // The first list is one line: hundreds of targets would fill the log's allowance of a second.
+    const bool first = entries_.empty();
     for (const auto& [key, object] : objects)
     {
-        take(object);
+        take(object, !first);
+    }
+    if (first && !objects.empty())
+    {
+        log_event(
+            event_id::targets_known, {{"entries", std::to_string(objects.size())},
+                                      {"targets", std::to_string(targets().size())}});
     }
 
     std::optional<core::time_point> next;
@@ -99,7 +107,7 @@
     return next;
 }
 
-void target_registry::take(const core::store_object& object)
+void target_registry::take(const core::store_object& object, bool log_additions)
 {
     const auto known = entries_.find(object.key);
     if (known != entries_.end() && known->second.listed &&
@@ -136,7 +144,7 @@
                          decoded->target.state != updated.registration.target.state ||
                          decoded->target.address != updated.registration.target.address;
     updated.registration = std::move(*decoded);
-    if (changed)
+    if (changed && log_additions)
     {
         log_change(updated.registration, state_name(updated.registration.target.state));
     }
--- a/packages/entry/tests/news/news_exchange_test.cpp
+++ b/packages/entry/tests/news/news_exchange_test.cpp
@@ -225,6 +225,26 @@
     CHECK(fixture.all_know(2));
 }
 
+// Guards against an instance that starts beside well-informed neighbours and still turns to the
+// store, because it hears a reader's word only a second later.
+TEST_CASE("an instance that starts hears the latest words of the readers with the news")
+{
+    exchange_fixture fixture;
+    fixture.add("i0");
+    fixture.add("i1");
+    REQUIRE(
+        fixture.reach([](const news_instance& each) { return each.exchange->instances() > 1; }));
+    fixture.instances[0]->learn_from_store(1);
+    REQUIRE(fixture.all_know(1));
+    fixture.instances[0]->exchange->tell_reader_state(wire::reader_state::reached);
+    REQUIRE(fixture.reach([&](const news_instance& each)
+                          { return &each == fixture.instances[0].get() || !each.words.empty(); }));
+    news_instance& late = fixture.add("late");
+    REQUIRE(fixture.reach([&](const news_instance& each)
+                          { return &each != &late || (each.known && !each.words.empty()); }));
+    CHECK(late.words == std::vector<std::string>{"i0#1 reached"});
+}
+
 // Guards against an instance that stays behind after it has missed an update.
 TEST_CASE("a gap is filled by the neighbour that shows it")
 {
--- a/packages/entry/tests/peers/peer_network_test.cpp
+++ b/packages/entry/tests/peers/peer_network_test.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/peers/hello_auth.hpp>
+#include <catkintally/entry/peers/peer_link.hpp>
 #include <catkintally/entry/peers/peer_network.hpp>
 #include <catkintally/runtime/time/libevent_timer_service.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
@@ -199,3 +200,85 @@
     REQUIRE(left.received.size() == 1);
     CHECK(left.network.linked_members() == std::vector<core::member_id>{next.id});
 }
+
+// Guards against seeds that lose the first packet of most dialers when hundreds of instances start
+// together: those would try again only after a second, and read the store meanwhile.
+TEST_CASE("a seed takes the connections of hundreds of instances that dial at the same moment")
+{
+    constexpr std::size_t dialers = 600;
+    runtime::event_loop loop;
+    runtime::libevent_timer_service timers{loop};
+    const peer_end seed(loop, timers, "seed", "k", {});
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(
+        std::stoul(seed.self.peer_address.substr(seed.self.peer_address.find(':') + 1))));
+
+    // The seed's loop does not run, so all of them wait to be accepted.
+    std::vector<int> sockets;
+    std::size_t connected = 0;
+    for (std::size_t index = 0; index < dialers; ++index)
+    {
+        const int dialed = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        REQUIRE(dialed >= 0);
+        sockets.push_back(dialed);
+        connect(dialed, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        connected += getpeername(dialed, reinterpret_cast<sockaddr*>(&peer), &size) == 0 ? 1 : 0;
+    }
+    CHECK(connected == dialers);
+    for (const int dialed : sockets)
+    {
+        close(dialed);
+    }
+}
+
+// Guards against dialers that wait a second for the system to send their first packet again, after
+// a machine without power has missed it, and against a machine without power that is logged as one
+// that was rejected.
+TEST_CASE("a link to an address that does not answer is given up soon")
+{
+    runtime::event_loop loop;
+    runtime::libevent_timer_service timers{loop};
+    // A listener whose queue is full drops the first packet of further connections.
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(listener, 0) == 0);
+    REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    std::vector<int> waiting;
+    for (int index = 0; index < 4; ++index)
+    {
+        waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(waiting.back(), reinterpret_cast<sockaddr*>(&address), size);
+    }
+
+    peer_counters counters;
+    std::optional<link_end> ended;
+    peer_link link(
+        {.base = loop.base(),
+         .self =
+             {.id = {.instance = "a", .incarnation = 1},
+              .failure_domain = "d",
+              .peer_address = "127.0.0.1:1"},
+         .key = "k",
+         .nonce = 1,
+         .expected_instance = "",
+         .up = [] {},
+         .message = [](const wire::payloadUnion&) {},
+         .ended = [&](link_end reason, const std::string&) { ended = reason; },
+         .counters = &counters});
+    REQUIRE(link.connect("127.0.0.1:" + std::to_string(ntohs(address.sin_port))));
+    run_until(loop, timers, [&] { return ended.has_value(); });
+    CHECK(*ended == link_end::disconnected);
+    waiting.push_back(listener);
+    for (const int each : waiting)
+    {
+        close(each);
+    }
+}
