Bound the memory for bodies of requests and answers

Cause: a chunked answer may be 64 MB by the settings, for each request on its own, so 40 endless answers took an instance to 2.3 GB (measured earlier on the landed code); instances have 160 MB. Uploads had no bound in all.

A request without room is refused before its body is read, with 503, not run and a Retry-After; an answer without room is a lost answer. Health checks take 16 KB, the store's answers 16 MB and a head of 64 KB.

--- a/packages/entry/include/catkintally/entry/http/body_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/body_reader.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <catkintally/entry/http/body_budget.hpp>
 #include <catkintally/entry/http/chunk_scanner.hpp>
 #include <catkintally/entry/http/http_head.hpp>
 #include <catkintally/entry/http/read_state.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -22,6 +24,17 @@
     bool trailers = false;
     /// A body without declared end lasts until the connection ends.
     bool until_close = false;
+    /// Memory for bodies; may be empty.
+    std::shared_ptr<body_budget> budget{};
+};
+
+/// Why a body is refused.
+enum class body_fault : std::uint8_t
+{
+    malformed,
+    too_large,
+    /// There is no memory for it now.
+    no_memory
 };
 
 /// Reads the body of one message, of which the head has been checked.
@@ -37,13 +50,15 @@
     /// The connection has ended in order and nothing is left to read: done if the body is whole.
     [[nodiscard]] read_state end_of_input() const;
 
-    /// The body was refused because of its size.
-    [[nodiscard]] bool is_too_large() const { return too_large_; }
+    /// Why the body was refused; after `fault`.
+    [[nodiscard]] body_fault fault() const { return fault_; }
 
-    /// The whole body.
+    /// The whole body, and the memory that is reserved for it.
     [[nodiscard]] std::string take();
+    [[nodiscard]] body_reservation take_reservation() { return std::move(reservation_); }
 
 private:
+    read_state refuse(body_fault fault);
     read_state read_chunks(evbuffer* input);
     read_state read_plain(evbuffer* input);
 
@@ -53,7 +68,8 @@
     /// Bytes that are still to come; nothing if the body ends with the connection.
     std::optional<std::uint64_t> left_;
     std::string data_;
-    bool too_large_ = false;
+    body_reservation reservation_;
+    body_fault fault_ = body_fault::malformed;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -29,6 +29,8 @@
     std::function<bool()> closing;
     /// The limits in force.
     std::function<const core::caller_limits&()> limits;
+    /// Memory for bodies; may be empty.
+    std::shared_ptr<body_budget> budget{};
 };
 
 /// One caller's connection. Requests that were sent ahead are read and handed on while earlier ones
--- a/packages/entry/include/catkintally/entry/http/chunk_scanner.hpp
+++ b/packages/entry/include/catkintally/entry/http/chunk_scanner.hpp
@@ -33,6 +33,9 @@
     /// Bytes that the last scan() has taken.
     [[nodiscard]] std::size_t used() const { return used_; }
 
+    /// Size of the data so far.
+    [[nodiscard]] std::size_t data_size() const { return data_.size(); }
+
     /// The data so far; empty afterwards.
     [[nodiscard]] std::string take_data() { return std::move(data_); }
 
--- a/packages/entry/include/catkintally/entry/http/http_front.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_front.hpp
@@ -30,6 +30,10 @@
     /// Next request id, for refusals that come before the path sees the request.
     std::function<std::string()> next_request_id;
     runtime::metrics_registry* metrics = nullptr;
+    /// Memory for bodies; may be empty.
+    std::shared_ptr<body_budget> budget{};
+    /// Callers take fractions of a second in Retry-After.
+    bool fractional_retry_after = false;
 };
 
 /// The callers' address: accepts connections, refuses invalid requests, answers the health check
--- a/packages/entry/include/catkintally/entry/http/request_check.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_check.hpp
@@ -14,6 +14,8 @@
     malformed,
     head_too_large,
     body_too_large,
+    /// The instance has no memory for the body now.
+    no_body_memory,
     conflicting_length,
     body_not_accepted,
     unknown_encoding,
--- a/packages/entry/include/catkintally/entry/http/request_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_reader.hpp
@@ -6,7 +6,9 @@
 #include <catkintally/entry/http/read_state.hpp>
 #include <catkintally/entry/http/request_check.hpp>
 
+#include <memory>
 #include <optional>
+#include <utility>
 
 struct evbuffer;
 
@@ -18,6 +20,12 @@
 class request_reader
 {
 public:
+    /// `budget` is the memory for bodies; may be empty.
+    explicit request_reader(std::shared_ptr<body_budget> budget = nullptr)
+        : budget_(std::move(budget))
+    {
+    }
+
     /// Takes bytes from `input` until a request is whole, more bytes are needed or the request is
     /// refused. Call take() before the next read() after `done`.
     read_state read(evbuffer* input, const core::caller_limits& limits);
@@ -42,6 +50,7 @@
     read_state read_head(evbuffer* input, const core::caller_limits& limits);
     read_state read_body(evbuffer* input);
 
+    std::shared_ptr<body_budget> budget_;
     std::optional<body_reader> body_;
     /// The body is whole and the request can be taken.
     bool whole_ = false;
--- a/packages/entry/include/catkintally/entry/http/response_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/response_reader.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 struct evbuffer;
 
@@ -25,6 +26,8 @@
     /// A response without length that ends with an orderly close of its connection is whole. Only
     /// for targets that reset the connection when they break off.
     bool close_delimited = false;
+    /// Memory for bodies; may be empty.
+    std::shared_ptr<body_budget> budget{};
 };
 
 /// Reads one response of a target. Interim responses are dropped; a response whose end cannot be
@@ -32,8 +35,8 @@
 class response_reader
 {
 public:
-    explicit response_reader(const response_rules& rules)
-        : rules_(rules)
+    explicit response_reader(response_rules rules)
+        : rules_(std::move(rules))
     {
     }
 
@@ -50,7 +53,8 @@
     /// What is wrong; after `fault`.
     [[nodiscard]] const std::string& fault() const { return fault_; }
 
-    /// The whole response with its own fields.
+    /// The whole response with its own fields. The memory of its body stays reserved as long as the
+    /// response is shared.
     [[nodiscard]] std::shared_ptr<core::stored_answer> take();
 
     /// True if the target keeps the connection after the response.
--- a/packages/entry/include/catkintally/entry/instance.hpp
+++ b/packages/entry/include/catkintally/entry/instance.hpp
@@ -79,6 +79,7 @@
     const runtime::settings settings_;
     instance_hooks hooks_;
     runtime::metrics_registry metrics_;
+    const std::shared_ptr<body_budget> budget_;
     target_pool pool_;
     http_path path_;
     http_front front_;
--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/fleet/admission_gateway.hpp>
+#include <catkintally/entry/http/body_budget.hpp>
 #include <catkintally/entry/http/http_head.hpp>
 #include <catkintally/entry/http/shared_body.hpp>
 
@@ -26,6 +27,8 @@
     std::size_t body_bytes = 67'108'864;
     /// An answer without length that ends with an orderly close of its connection is whole.
     bool close_delimited = false;
+    /// Memory for bodies; may be empty.
+    std::shared_ptr<body_budget> budget{};
 };
 
 /// Tells the answer to a request from a surplus answer to an earlier request of the connection, by
@@ -58,6 +61,8 @@
     shared_body body;
     /// Answers that do not match are skipped.
     std::optional<answer_mark> mark{};
+    /// Largest body of the answer, if less than that of the connection.
+    std::optional<std::size_t> answer_bytes{};
     /// Uses a connection of its own, not a kept one.
     bool new_connection = false;
     /// Asked once, directly before the first byte; false holds the request back.
--- a/packages/entry/src/http/body_reader.cpp
+++ b/packages/entry/src/http/body_reader.cpp
@@ -12,6 +12,7 @@
 
 body_reader::body_reader(const body_framing& framing, const body_rules& rules)
     : rules_(rules)
+    , reservation_(rules.budget)
 {
     if (framing.chunked)
     {
@@ -28,10 +29,20 @@
     return chunks_ ? read_chunks(input) : read_plain(input);
 }
 
+read_state body_reader::refuse(body_fault fault)
+{
+    fault_ = fault;
+    return read_state::fault;
+}
+
 read_state body_reader::read_chunks(evbuffer* input)
 {
     const chunk_state state = chunks_->scan(contiguous_text(input));
     evbuffer_drain(input, chunks_->used());
+    if (!reservation_.grow_to(chunks_->data_size()))
+    {
+        return refuse(body_fault::no_memory);
+    }
     switch (state)
     {
     case chunk_state::more:
@@ -40,21 +51,25 @@
         data_ = chunks_->take_data();
         return read_state::done;
     case chunk_state::too_large:
-        too_large_ = true;
-        break;
+        return refuse(body_fault::too_large);
     case chunk_state::malformed:
         break;
     }
-    return read_state::fault;
+    return refuse(body_fault::malformed);
 }
 
 read_state body_reader::read_plain(evbuffer* input)
 {
     const std::uint64_t left = left_.value_or(std::numeric_limits<std::uint64_t>::max());
-    if (data_.size() + left_.value_or(evbuffer_get_length(input)) > rules_.max_bytes)
+    const std::uint64_t expected = data_.size() + left_.value_or(evbuffer_get_length(input));
+    if (expected > rules_.max_bytes)
+    {
+        return refuse(body_fault::too_large);
+    }
+    // A declared length is reserved as a whole, so that a body that was begun can be finished.
+    if (!reservation_.grow_to(expected))
     {
-        too_large_ = true;
-        return read_state::fault;
+        return refuse(body_fault::no_memory);
     }
     const std::size_t had = data_.size();
     const auto step =
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -45,6 +45,7 @@
     , hooks_(std::move(hooks))
     , address_(std::move(address))
     , stream_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE))
+    , reader_(hooks_.budget)
     , since_(timers.now())
 {
     bufferevent_setcb(
--- a/packages/entry/src/http/http_front.cpp
+++ b/packages/entry/src/http/http_front.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/entry/http/http_front.hpp>
 #include <catkintally/entry/http/refusal.hpp>
+#include <catkintally/runtime/log/event_log.hpp>
 
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -28,6 +29,10 @@
 
 constexpr int backlog = 1024;
 
+/// Wait that is advised while there is no memory for a body. Most bodies are answered, and their
+/// memory is free again, within this time.
+constexpr auto no_memory_retry_after = std::chrono::milliseconds(500);
+
 /// IP address of a peer without port.
 std::string host_of(const sockaddr* name)
 {
@@ -160,7 +165,8 @@
                     .refusal = [this](request_fault fault) { return refusal_of(fault); },
                     .ended = [this, id] { end_connection(id); },
                     .closing = [this] { return draining_; },
-                    .limits = [this]() -> const core::caller_limits& { return options_.limits; }}));
+                    .limits = [this]() -> const core::caller_limits& { return options_.limits; },
+                    .budget = options_.budget}));
 }
 
 void http_front::take(const call_key& key, caller_request request)
@@ -239,9 +245,17 @@
     {
         options_.metrics->counter("catkintally_requests_invalid_total", {{"reason", reason}}).add();
     }
+    const std::string id = options_.next_request_id();
+    runtime::log_event(
+        runtime::event_id::request_refused,
+        {{"request", id}, {"reason", reason}, {"host", ""}, {"path", ""}});
+    const bool passes = fault == request_fault::no_body_memory;
     caller_reply out = make_reply(
-        {.status = fault_status(fault), .claim = core::run_claim::not_run, .reason = reason},
-        options_.next_request_id());
+        {.status = fault_status(fault),
+         .claim = core::run_claim::not_run,
+         .reason = reason,
+         .retry_after = passes ? core::duration(no_memory_retry_after) : core::duration::zero()},
+        id, options_.fractional_retry_after);
     if (fault == request_fault::method_not_allowed)
     {
         out.fields.emplace_back("Allow", "GET, HEAD, POST, PUT, DELETE, OPTIONS, PATCH");
--- a/packages/entry/src/http/request_check.cpp
+++ b/packages/entry/src/http/request_check.cpp
@@ -23,6 +23,7 @@
     {{request_fault::malformed, 400, "malformed"},
      {request_fault::head_too_large, 431, "head_too_large"},
      {request_fault::body_too_large, 413, "body_too_large"},
+     {request_fault::no_body_memory, 503, "no_body_memory"},
      {request_fault::conflicting_length, 400, "conflicting_length"},
      {request_fault::body_not_accepted, 400, "body_not_accepted"},
      {request_fault::unknown_encoding, 501, "unknown_encoding"},
--- a/packages/entry/src/http/request_reader.cpp
+++ b/packages/entry/src/http/request_reader.cpp
@@ -25,6 +25,20 @@
     evbuffer_drain(input, blank);
 }
 
+request_fault fault_of(body_fault fault)
+{
+    switch (fault)
+    {
+    case body_fault::too_large:
+        return request_fault::body_too_large;
+    case body_fault::no_memory:
+        return request_fault::no_body_memory;
+    case body_fault::malformed:
+        break;
+    }
+    return request_fault::malformed;
+}
+
 /// Path and query; an absolute URI loses its scheme and authority.
 std::string origin_form(std::string_view uri)
 {
@@ -95,7 +109,8 @@
 
     keeps_connection_ = allows_reuse(request_.fields, line.ends_with("1.1"));
     body_.emplace(
-        framing_of(request_.fields), body_rules{.max_bytes = limits.body_bytes, .trailers = false});
+        framing_of(request_.fields),
+        body_rules{.max_bytes = limits.body_bytes, .trailers = false, .budget = budget_});
     evbuffer_drain(input, end);
     return read_state::done;
 }
@@ -105,8 +120,7 @@
     const read_state state = body_->read(input);
     if (state == read_state::fault)
     {
-        return refuse(
-            body_->is_too_large() ? request_fault::body_too_large : request_fault::malformed);
+        return refuse(fault_of(body_->fault()));
     }
     whole_ = state == read_state::done;
     return state;
@@ -121,7 +135,7 @@
 {
     assert(body_ && whole_);
     whole_ = false;
-    request_.body = std::make_shared<const std::string>(body_->take());
+    request_.body = hold_body(body_->take(), body_->take_reservation());
     body_.reset();
     return std::move(request_);
 }
--- a/packages/entry/src/http/response_reader.cpp
+++ b/packages/entry/src/http/response_reader.cpp
@@ -17,6 +17,26 @@
 /// Interim heads of one response. A target that sends more does not come to an end.
 constexpr std::size_t max_interim_heads = 16;
 
+const char* fault_text(body_fault fault)
+{
+    switch (fault)
+    {
+    case body_fault::too_large:
+        return "response body too large";
+    case body_fault::no_memory:
+        return "no memory for the response body";
+    case body_fault::malformed:
+        break;
+    }
+    return "response body malformed";
+}
+
+struct held_answer
+{
+    core::stored_answer answer;
+    body_reservation reservation;
+};
+
 } // namespace
 
 read_state response_reader::refuse(std::string what)
@@ -80,7 +100,8 @@
         body_rules{
             .max_bytes = rules_.body_bytes,
             .trailers = true,
-            .until_close = verdict == response_verdict::close_delimited});
+            .until_close = verdict == response_verdict::close_delimited,
+            .budget = rules_.budget});
     evbuffer_drain(input, end);
     return read_state::done;
 }
@@ -88,10 +109,7 @@
 read_state response_reader::read_body(evbuffer* input)
 {
     const read_state state = body_->read(input);
-    return state == read_state::fault
-               ? refuse(
-                     body_->is_too_large() ? "response body too large" : "response body malformed")
-               : state;
+    return state == read_state::fault ? refuse(fault_text(body_->fault())) : state;
 }
 
 read_state response_reader::end_of_input()
@@ -109,7 +127,9 @@
 {
     assert(body_);
     answer_->body = body_->take();
-    return std::move(answer_);
+    const auto held = std::make_shared<held_answer>(
+        held_answer{std::move(*std::exchange(answer_, nullptr)), body_->take_reservation()});
+    return {held, &held->answer};
 }
 
 } // namespace catkintally::entry
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -20,6 +20,11 @@
 /// How often a stopping instance checks whether everything in flight has ended.
 constexpr auto idle_check_interval = milliseconds(10);
 
+/// Part of the memory that bodies may take. A growing string holds up to three times its size for a
+/// moment, and connections and tables need their room.
+constexpr std::uint64_t body_memory_divisor = 4;
+constexpr std::uint64_t bytes_per_mb = 1'048'576;
+
 /// Gateway of an instance without a fleet.
 core::admission_gateway or_refusals(core::admission_gateway gateway)
 {
@@ -49,8 +54,10 @@
     return hooks;
 }
 
-target_limits
-limits_of(const runtime::targets_settings& values, const core::target_dialect& dialect)
+target_limits limits_of(
+    const runtime::targets_settings& values,
+    const core::target_dialect& dialect,
+    std::shared_ptr<body_budget> budget)
 {
     return {
         .connections = values.connections,
@@ -59,7 +66,8 @@
         .unacknowledged_time = milliseconds(values.unacknowledged_time_ms),
         .header_bytes = values.header_bytes,
         .body_bytes = values.body_bytes,
-        .close_delimited = dialect.close_delimited_answers};
+        .close_delimited = dialect.close_delimited_answers,
+        .budget = std::move(budget)};
 }
 
 /// Calls `done` once, when told so or after `limit`, whichever comes first.
@@ -88,7 +96,9 @@
     : timers_(timers)
     , settings_(values)
     , hooks_(with_defaults(std::move(hooks)))
-    , pool_(loop, timers, limits_of(values.targets, hooks_.dialect), metrics_)
+    , budget_(std::make_shared<body_budget>(
+          values.instance.memory_mb * bytes_per_mb / body_memory_divisor))
+    , pool_(loop, timers, limits_of(values.targets, hooks_.dialect, budget_), metrics_)
     , path_(http_path_options{
           .instance = values.instance.id,
           .failure_domain = values.instance.failure_domain,
@@ -112,11 +122,18 @@
               .handle = [this](caller_call& call) { path_.handle(call); },
               .healthy = [this] { return is_healthy(); },
               .next_request_id = [this] { return path_.next_request_id(); },
-              .metrics = &metrics_})
+              .metrics = &metrics_,
+              .budget = budget_,
+              .fractional_retry_after = hooks_.dialect.fractional_retry_after})
     , admin_(loop, metrics_, values.admin.health_path, [this] { return is_healthy(); })
     , self_(std::make_shared<instance*>(this))
 {
     add_dump();
+    metrics_.gauge(
+        "catkintally_body_bytes", {}, [this] { return static_cast<double>(budget_->used()); });
+    metrics_.gauge(
+        "catkintally_bodies_refused", {},
+        [this] { return static_cast<double>(budget_->refused()); });
 }
 
 instance::~instance()
--- a/packages/entry/src/process/target_prober.cpp
+++ b/packages/entry/src/process/target_prober.cpp
@@ -12,6 +12,9 @@
 /// A probe takes about 6 ms; a target that needs longer than this is not fit for work.
 constexpr auto probe_deadline = std::chrono::milliseconds(500);
 
+/// Answers to probes say all in their head.
+constexpr std::size_t probe_answer_bytes = 16'384;
+
 } // namespace
 
 target_prober::target_prober(target_prober_options options)
@@ -49,6 +52,7 @@
     // Without an id of its own, the check must not take the answer to an earlier request: the true
     // answer to the check would then pass for the answer to the next request.
     request.mark = answer_mark{.header = options_.dialect->request_id_header, .value = {}};
+    request.answer_bytes = probe_answer_bytes;
     request.may_send = [] { return true; };
     pending.dispatch = options_.pool().dispatch(
         target.address, std::move(request),
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -20,6 +20,9 @@
 namespace
 {
 
+/// Most bytes that libevent takes from a socket at once.
+constexpr std::size_t read_size = 16'384;
+
 bool has_body(const std::string& method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -70,6 +73,9 @@
 {
     bufferevent_setcb(
         stream_, &target_connection::on_readable, nullptr, &target_connection::on_event, this);
+    // Heads are read in one piece and bodies as they come, so only bytes that nobody asked for can
+    // pile up.
+    bufferevent_setwatermark(stream_, EV_READ, 0, limits_.header_bytes + read_size);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
 }
 
@@ -152,9 +158,11 @@
 {
     reader_ = std::make_unique<response_reader>(response_rules{
         .header_bytes = limits_.header_bytes,
-        .body_bytes = limits_.body_bytes,
+        .body_bytes =
+            std::min(limits_.body_bytes, request_.answer_bytes.value_or(limits_.body_bytes)),
         .head_request = request_.method == "HEAD",
-        .close_delimited = limits_.close_delimited});
+        .close_delimited = limits_.close_delimited,
+        .budget = limits_.budget});
 }
 
 void target_connection::write_request()
--- a/packages/entry/tests/support/scripted_target.cpp
+++ b/packages/entry/tests/support/scripted_target.cpp
@@ -75,6 +75,12 @@
             {
                 self->answer(to);
             }
+            else if (found != self->peers_.end() && !found->second.held)
+            {
+                const std::string& more = self->script.endless;
+                self->endless_bytes += more.size();
+                bufferevent_write(to, more.data(), more.size());
+            }
         },
         [](bufferevent* from, short what, void* context)
         {
--- a/packages/entry/tests/support/scripted_target.hpp
+++ b/packages/entry/tests/support/scripted_target.hpp
@@ -25,6 +25,8 @@
     bool close_on_accept = false;
     /// Closes the connection once this many bytes of the request have arrived; 0: never.
     std::size_t close_after_bytes = 0;
+    /// Sent again and again after each other text, until the caller closes the connection.
+    std::string endless{};
     /// Waits for release() before it answers.
     bool hold = false;
 };
@@ -58,6 +60,8 @@
     std::size_t begun = 0;
     /// Whole requests.
     std::size_t requests = 0;
+    /// Bytes of `endless` that were sent.
+    std::size_t endless_bytes = 0;
     /// Text of the last whole request.
     std::string last_request;
 
--- a/packages/runtime/include/catkintally/runtime/http/http_client.hpp
+++ b/packages/runtime/include/catkintally/runtime/http/http_client.hpp
@@ -20,7 +20,9 @@
     /// Kept connections for each address.
     std::size_t max_idle_connections = 2;
     /// Larger responses end the call without an answer.
-    std::size_t max_response_bytes = 64 << 20;
+    std::size_t max_response_bytes = 16 << 20;
+    /// Largest response head.
+    std::size_t max_response_head_bytes = 64 << 10;
 };
 
 /// Asynchronous HTTP/1.1 client for the control plane: the platform's API, admin addresses and test
--- a/packages/runtime/src/http/http_client.cpp
+++ b/packages/runtime/src/http/http_client.cpp
@@ -122,6 +122,8 @@
             evhttp_connection_base_new(loop_.base(), nullptr, address.host.c_str(), address.port));
         evhttp_connection_set_max_body_size(
             connection.get(), static_cast<ev_ssize_t>(options_.max_response_bytes));
+        evhttp_connection_set_max_headers_size(
+            connection.get(), static_cast<ev_ssize_t>(options_.max_response_head_bytes));
     }
     // The call's own timer bounds it. libevent's default of 50 s would cut off long polls.
     const auto left =
