Answer callers that a stopping instance has not accepted yet

Cause: closing the listener resets the connections that wait in its queue, also those whose caller has sent the request; and a connection that was accepted before its first request came was closed as idle.

The queue is emptied before the listener closes, and a new connection has 0.5 s to send its first request. The test fails without either.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -52,7 +52,8 @@
     /// Gives the response to a request; it leaves once all earlier ones have left.
     void reply(std::uint64_t call, const caller_reply& response);
 
-    /// True while a request is being received or handled, or a response is being written.
+    /// True while a request is being received or handled, or a response is being written, and while
+    /// the first request of a new connection is to come.
     [[nodiscard]] bool is_busy() const;
 
     /// Closes the connection if no request is on it.
@@ -89,6 +90,7 @@
     void write(const pending_response& due);
     void linger();
     void end();
+    [[nodiscard]] bool awaits_first_request() const;
 
     core::timer_service& timers_;
     caller_connection_hooks hooks_;
--- a/packages/entry/include/catkintally/entry/http/http_front.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_front.hpp
@@ -58,7 +58,8 @@
     /// From now on every response ends its connection.
     void begin_drain() { draining_ = true; }
 
-    /// Closes the listener and all idle connections.
+    /// Closes the listener and all idle connections. Connections that have not been accepted yet
+    /// are taken over before.
     void close_listener();
 
     /// True while a request is being received or handled, or a response is being written.
@@ -76,6 +77,7 @@
     using call_key = std::pair<connection_id, std::uint64_t>;
 
     void accept(int socket, std::string address);
+    void accept_waiting();
     void take(const call_key& key, caller_request request);
     void answer_health(caller_call& call);
     void end_call(const call_key& key, const caller_reply& response);
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -25,6 +25,10 @@
 /// input is read and dropped for this long.
 constexpr auto linger_time = std::chrono::seconds(1);
 
+/// The first request on a new connection is on its way, so a stopping instance waits for it.
+/// Callers send it at once; this leaves room for a slow link.
+constexpr auto first_request_time = std::chrono::milliseconds(500);
+
 std::string status_line(std::uint16_t status)
 {
     namespace http = boost::beast::http;
@@ -234,12 +238,17 @@
     end_timer_ = timers_.schedule_after(core::duration::zero(), [this] { hooks_.ended(); });
 }
 
+bool caller_connection::awaits_first_request() const
+{
+    return last_call_ == 0 && timers_.now() - since_ < first_request_time;
+}
+
 bool caller_connection::is_busy() const
 {
     switch (now_)
     {
     case phase::open:
-        return receiving_ || !responses_.empty() ||
+        return receiving_ || !responses_.empty() || awaits_first_request() ||
                evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
     case phase::finishing:
     case phase::lingering:
--- a/packages/entry/src/http/http_front.cpp
+++ b/packages/entry/src/http/http_front.cpp
@@ -131,11 +131,32 @@
 {
     if (listener_ != nullptr)
     {
+        accept_waiting();
         evconnlistener_free(std::exchange(listener_, nullptr));
     }
     close_idle();
 }
 
+void http_front::accept_waiting()
+{
+    // Connections that wait in the listener's queue stand for their callers, who may have sent a
+    // request already; closing the listener would reset them.
+    evconnlistener_disable(listener_);
+    while (true)
+    {
+        sockaddr_storage storage{};
+        socklen_t length = sizeof storage;
+        auto* name = reinterpret_cast<sockaddr*>(&storage);
+        const int accepted =
+            accept4(evconnlistener_get_fd(listener_), name, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0)
+        {
+            return;
+        }
+        accept(accepted, host_of(name));
+    }
+}
+
 void http_front::close_idle()
 {
     for (const auto& [id, connection] : connections_)
--- a/packages/entry/tests/http/caller_side_test.cpp
+++ b/packages/entry/tests/http/caller_side_test.cpp
@@ -2,6 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace catkintally::entry;
 namespace core = catkintally::core;
 
@@ -19,6 +26,41 @@
 
 const std::string host = "Host: desk.example\r\n";
 
+/// A caller on a socket outside the loop.
+class waiting_caller
+{
+public:
+    explicit waiting_caller(std::uint16_t port)
+        : socket_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
+        REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    }
+    ~waiting_caller() { close(socket_); }
+    waiting_caller(const waiting_caller&) = delete;
+    waiting_caller& operator=(const waiting_caller&) = delete;
+
+    void send(const std::string& text) const
+    {
+        REQUIRE(::send(socket_, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+    }
+
+    /// Adds what has arrived; true once the connection has ended.
+    [[nodiscard]] bool receive(std::string& text) const
+    {
+        std::array<char, 4'096> chunk{};
+        const ssize_t size = recv(socket_, chunk.data(), chunk.size(), MSG_DONTWAIT);
+        text.append(chunk.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+        return size == 0 || (size < 0 && errno != EAGAIN);
+    }
+
+private:
+    int socket_;
+};
+
 } // namespace
 
 // Guards against requests that two parsers read differently, and against callers that get no answer
@@ -382,3 +424,29 @@
     CHECK(status_of(*response) == sample.status);
     CHECK(target.requests == (sample.status == 200 ? 1 : 0));
 }
+
+// Guards against a planned stop that resets connections whose callers have sent their request, or
+// are about to send it, because nobody had accepted them yet.
+TEST_CASE("a stopping instance answers callers that it has not accepted yet")
+{
+    path_fixture bench;
+    scripted_target target(bench.loop, {});
+    bench.grant({target.address()});
+    const std::uint16_t port = bench.self->front().port();
+    const std::string request = path_fixture::request("GET");
+    // The loop does not run, so both connections wait in the listener's queue.
+    const waiting_caller early(port);
+    early.send(request);
+    const waiting_caller late(port);
+    bench.self->front().begin_drain();
+    bench.self->front().close_listener();
+    CHECK(bench.self->front().is_busy());
+    late.send(request);
+    for (const waiting_caller* caller : {&early, &late})
+    {
+        std::string response;
+        bench.run_until([&] { return caller->receive(response); });
+        CHECK(status_of(response) == 200);
+        CHECK(field_of(response, "Connection") == "close");
+    }
+}
