--- a/packages/core/include/catkintally/core/news/reader_duty.hpp
+++ b/packages/core/include/catkintally/core/news/reader_duty.hpp
@@ -35,7 +35,9 @@
     duration spread = std::chrono::milliseconds(150);
     /// As `spread`, for an instance that starts. Longer, since all may start together and then need
     /// some hundred milliseconds until their links are up and a first one can tell the others.
-    duration start_spread = std::chrono::seconds(1);
+    duration start_spread = std::chrono::milliseconds(1500);
+    /// The others dial this instance when they start, so it turns to the store early.
+    bool is_seed = false;
     /// Estimated number of live instances.
     std::function<std::size_t()> instances;
     /// Starts or stops reading the store.
--- a/packages/core/src/news/reader_duty.cpp
+++ b/packages/core/src/news/reader_duty.cpp
@@ -34,6 +34,10 @@
 /// How soon a missing second reader is replaced.
 constexpr duration replacement = std::chrono::seconds(2);
 
+/// Seeds that start turn to the store within this span: a few times the delay of a link, so that
+/// one of them can tell the others.
+constexpr duration seed_start_spread = milliseconds(50);
+
 /// Readers that said nothing for this long are forgotten.
 constexpr duration memory = std::chrono::seconds(10);
 
@@ -260,7 +264,9 @@
     case need::none:
         return;
     case need::news:
-        delay = suppression_delay(last_reached_ ? options_.spread : options_.start_spread);
+        delay = last_reached_      ? suppression_delay(options_.spread)
+                : options_.is_seed ? random_within(seed_start_spread)
+                                   : suppression_delay(options_.start_spread);
         break;
     case need::another_try:
         delay = random_within(
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -148,6 +148,9 @@
         .self = core::to_text(self.id),
         .seed = random_number(),
         .start_spread = milliseconds(settings_.peers.start_spread_ms),
+        .is_seed = std::find(
+                       settings_.peers.seeds.begin(), settings_.peers.seeds.end(),
+                       settings_.peers.address) != settings_.peers.seeds.end(),
         .instances = [this] { return news_->instances(); },
         .read =
             [this](bool reading)
