Do not ask targets that cannot be reached while most others fail

With more than half of a service's targets ejected all are asked again, the dark ones too: for one request nine targets were asked and six of them were dark.

A target that a lost request found without a connection is left out of that fallback until its pause is over or it answers. Silence of a health check alone does not count: targets of some services never answer while they are full.

The test asks a dark domain beside full targets and fails before.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -126,6 +126,15 @@
 private:
     using answer_hook = std::function<void(admission_answer)>;
 
+    /// What went wrong at a target.
+    enum class target_failure : std::uint8_t
+    {
+        /// No answer, or a bad one.
+        answer,
+        /// No connection could be made.
+        unreachable
+    };
+
     struct target_state
     {
         target_health health;
@@ -186,7 +195,7 @@
     void confirm_crash(const grant& ended);
     void on_lost(request_id id, loss_cause cause);
     void complete(const completion_report& report);
-    void report_failure(const target_key& key);
+    void report_failure(const target_key& key, target_failure failure = target_failure::answer);
     [[nodiscard]] const service_config* service(const std::string& name) const;
     [[nodiscard]] const target_row* row(const target_key& key) const;
     target_state& state(const target_key& key) { return targets_[key]; }
--- a/packages/core/include/catkintally/core/admission/target_health.hpp
+++ b/packages/core/include/catkintally/core/admission/target_health.hpp
@@ -16,8 +16,29 @@
     /// each failure in a row.
     void failed(time_point now);
 
+    /// As failed(), and no connection to the target could be made.
+    void unreachable(time_point now)
+    {
+        failed(now);
+        unreachable_ = true;
+    }
+
+    /// The target answered something.
+    void answered() { unreachable_ = false; }
+
     /// The target answered a request with success.
-    void succeeded() { failures_ = 0; }
+    void succeeded()
+    {
+        failures_ = 0;
+        unreachable_ = false;
+    }
+
+    /// True while the target gets no work because it can't be reached, even if most others fail,
+    /// too.
+    [[nodiscard]] bool is_unreachable(time_point now) const
+    {
+        return unreachable_ && is_ejected(now);
+    }
 
     /// True while the target gets no work because it failed.
     [[nodiscard]] bool is_ejected(time_point now) const { return now < ejected_until_; }
@@ -43,6 +64,7 @@
 
 private:
     std::uint32_t failures_ = 0;
+    bool unreachable_ = false;
     time_point ejected_until_{};
     time_point cold_until_{};
     time_point last_sent_ = time_point(duration::min() / 2);
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -218,6 +218,7 @@
         report_failure(key);
         return;
     }
+    known->second.health.answered();
     known->second.health.set_cold_until(options_.timers->now() + report.warmup_left);
     if (report.load)
     {
@@ -495,12 +496,19 @@
     }
 }
 
-void probing_gateway::report_failure(const target_key& key)
+void probing_gateway::report_failure(const target_key& key, target_failure failure)
 {
     target_health& health = state(key).health;
     const auto now = options_.timers->now();
     const bool ejected = health.is_ejected(now);
-    health.failed(now);
+    if (failure == target_failure::unreachable)
+    {
+        health.unreachable(now);
+    }
+    else
+    {
+        health.failed(now);
+    }
     if (!ejected && options_.ejected)
     {
         options_.ejected(key.first, key.second, health.failures());
--- a/packages/core/src/admission/probing_gateway_losses.cpp
+++ b/packages/core/src/admission/probing_gateway_losses.cpp
@@ -71,9 +71,17 @@
         .crashed_at = options_.timers->now()};
     reach_target(
         ended.target,
-        [this, crash, alive = std::weak_ptr(alive_)](bool stands)
+        [this, crash, key = ended.target, alive = std::weak_ptr(alive_)](bool stands)
         {
-            if (!alive.expired() && !stands && note_crash(crash) && options_.crashed)
+            if (alive.expired() || stands)
+            {
+                return;
+            }
+            if (row(key) != nullptr)
+            {
+                report_failure(key, target_failure::unreachable);
+            }
+            if (note_crash(crash) && options_.crashed)
             {
                 options_.crashed(crash);
             }
@@ -93,7 +101,9 @@
     }
     if (cause != loss_cause::not_at_target)
     {
-        report_failure(found->second.target);
+        report_failure(
+            found->second.target, cause == loss_cause::target_silent ? target_failure::unreachable
+                                                                     : target_failure::answer);
     }
     if (const auto lost = found->second.lost)
     {
--- a/packages/core/src/admission/probing_gateway_targets.cpp
+++ b/packages/core/src/admission/probing_gateway_targets.cpp
@@ -25,6 +25,7 @@
 std::vector<const target_row*> probing_gateway::candidates(const application& asking) const
 {
     std::vector<const target_row*> healthy;
+    std::vector<const target_row*> reachable;
     std::vector<const target_row*> all;
     const service_config* config = service(asking.request.service);
     if (config == nullptr)
@@ -48,14 +49,24 @@
             continue;
         }
         all.push_back(&each);
-        if (!targets_.at({config->service.name, each.name}).health.is_ejected(now))
+        const target_health& health = targets_.at({config->service.name, each.name}).health;
+        if (!health.is_ejected(now))
         {
             healthy.push_back(&each);
         }
+        if (!health.is_unreachable(now))
+        {
+            reachable.push_back(&each);
+        }
+    }
+    if (healthy.size() * 2 >= all.size())
+    {
+        return healthy;
     }
     // With most targets ejected, the cause is more likely an overload or a cut of this instance,
-    // and the few that are left could not carry the work.
-    return healthy.size() * 2 >= all.size() ? healthy : all;
+    // and the few that are left could not carry the work. Those that can't be reached would only
+    // cost the time of a question.
+    return reachable.empty() && asking.asked.empty() ? all : reachable;
 }
 
 std::vector<const target_row*> probing_gateway::choose_to_ask(const application& asking)
--- a/packages/core/tests/admission/probing_gateway_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_test.cpp
@@ -279,6 +279,52 @@
     CHECK(used.size() > 1);
 }
 
+// Load pattern: a failure domain goes dark while the rest is full and resets connections. Guards
+// against requests that spend their time on questions to the dark targets: on a played day nine
+// targets were asked for a request and six of them were dark.
+TEST_CASE("dark targets are not asked while others are full")
+{
+    probing_fixture fixture(8);
+    request_id id = 0;
+    const auto fail = [&](const std::string& name)
+    {
+        // Another request each time: one that crashes three targets is refused.
+        ++fixture.fingerprint;
+        for (auto& [other, report] : fixture.reports)
+        {
+            report.load->running = other == name ? 0 : 2;
+        }
+        REQUIRE(fixture.decide(++id).target == name);
+        fixture.complete(id, completion_outcome::connection_lost, 0);
+        fixture.timers.advance(std::chrono::milliseconds(2));
+    };
+    const std::set<std::string> dark = {"t0", "t2", "t4"};
+    for (const std::string& name : dark)
+    {
+        fixture.crashed.insert(name);
+        fail(name);
+        fixture.reports.erase(name);
+    }
+    fail("t1");
+    fail("t3");
+    REQUIRE(fixture.gateway_object->ejected_count() == 5);
+
+    for (auto& [name, report] : fixture.reports)
+    {
+        report.load->running = 2;
+    }
+    fixture.asked.clear();
+    ++fixture.fingerprint;
+    CHECK(fixture.decide(++id).code == decision_code::refused_queue_full);
+    std::set<std::string> asked(fixture.asked.begin(), fixture.asked.end());
+    CHECK(asked == std::set<std::string>{"t1", "t3", "t5", "t6", "t7"});
+
+    // They are asked again when their pause is over, and used once they answer.
+    fixture.timers.advance(std::chrono::seconds(2));
+    fixture.report("t0");
+    CHECK(fixture.decide(++id).target == "t0");
+}
+
 // Guards against cold targets that get more than they can carry from all instances together,
 // whether the coldness was registered or only shows in a health check, and against cold targets
 // that get nothing at all.
