--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -15,7 +15,7 @@
     runtime::metrics_registry& metrics)
     : loop_(loop)
     , timers_(timers)
-    , limits_(limits)
+    , limits_(std::move(limits))
     , opened_(metrics.counter("catkintally_target_connections_opened_total"))
     , reused_(metrics.counter("catkintally_target_connections_reused_total"))
     , closed_(metrics.counter("catkintally_target_connections_closed_total"))
--- a/packages/entry/tests/peers/peer_network_test.cpp
+++ b/packages/entry/tests/peers/peer_network_test.cpp
@@ -223,7 +223,9 @@
         const int dialed = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
         REQUIRE(dialed >= 0);
         sockets.push_back(dialed);
-        connect(dialed, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        // In progress if the queue is full.
+        static_cast<void>(
+            connect(dialed, reinterpret_cast<const sockaddr*>(&address), sizeof address));
         sockaddr_in peer{};
         socklen_t size = sizeof peer;
         connected += getpeername(dialed, reinterpret_cast<sockaddr*>(&peer), &size) == 0 ? 1 : 0;
@@ -255,7 +257,7 @@
     for (int index = 0; index < 4; ++index)
     {
         waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(waiting.back(), reinterpret_cast<sockaddr*>(&address), size);
+        static_cast<void>(connect(waiting.back(), reinterpret_cast<sockaddr*>(&address), size));
     }
 
     peer_counters counters;
