Report response headers of targets that nobody reads

Event 5004 names each such header once a process, and catkintally_target_unknown_header_total counts the responses.

The product's own conventions, built in two places, now come from one.

--- a/packages/core/include/catkintally/core/targets/target_dialect.hpp
+++ b/packages/core/include/catkintally/core/targets/target_dialect.hpp
@@ -27,6 +27,8 @@
     bool responses_carry_request_id = false;
     /// True if callers set the request id in that header themselves, so that its value is kept.
     bool callers_set_request_id = false;
+    /// Response headers that targets define, whether or not they are read here.
+    std::vector<std::string> known_response_headers;
     /// Header that names the intended target of a request, so that another target that now has the
     /// same address rejects it. Empty: not sent.
     std::string expected_target_header;
--- a/packages/entry/include/catkintally/entry/targets/dispatch.hpp
+++ b/packages/entry/include/catkintally/entry/targets/dispatch.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace catkintally::entry
 {
@@ -28,6 +29,8 @@
     std::size_t body_bytes = 67'108'864;
     /// Accepts an answer without a length as complete if its connection is closed cleanly.
     bool close_delimited = false;
+    /// Response headers that targets define; see target_dialect.
+    std::vector<std::string> known_headers{};
     /// Memory budget for bodies; may be null.
     std::shared_ptr<body_budget> budget{};
 };
--- a/packages/entry/include/catkintally/entry/targets/target_pool.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/entry/targets/target_connection.hpp>
+#include <catkintally/entry/targets/unknown_header_log.hpp>
 #include <catkintally/runtime/metrics/metrics_registry.hpp>
 
 #include <cstdint>
@@ -74,6 +75,7 @@
     runtime::metric_counter& opened_;
     runtime::metric_counter& reused_;
     runtime::metric_counter& closed_;
+    unknown_header_log unknown_headers_;
     dispatch_id next_id_ = 1;
     std::map<dispatch_id, active_dispatch> active_;
     std::map<std::string, target_state> targets_;
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -67,6 +67,7 @@
         .header_bytes = values.header_bytes,
         .body_bytes = values.body_bytes,
         .close_delimited = dialect.close_delimited_responses,
+        .known_headers = dialect.known_response_headers,
         .budget = std::move(budget)};
 }
 
--- a/packages/entry/src/process/instance_process.cpp
+++ b/packages/entry/src/process/instance_process.cpp
@@ -2,7 +2,7 @@
 #include <catkintally/entry/process/fleet_dump.hpp>
 #include <catkintally/entry/process/instance_process.hpp>
 #include <catkintally/entry/process/process_parts.hpp>
-#include <catkintally/entry/targets/load_field.hpp>
+#include <catkintally/entry/targets/product_target_dialect.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 
 #include <algorithm>
@@ -19,13 +19,6 @@
 /// Pause between two announcements to the platform's list of instances.
 constexpr auto announce_interval = std::chrono::seconds(5);
 
-core::target_dialect own_dialect()
-{
-    core::target_dialect own;
-    own.load = parse_load_field;
-    return own;
-}
-
 /// What a health check says, in the terms of a request's end.
 core::completion_outcome outcome_of(const core::probe_report& report)
 {
@@ -79,7 +72,7 @@
           .timers = &timers,
           .publish = [this](const auto& table) { use_table(table); }})
     , peers_(peer_options())
-    , dialect_(own_dialect())
+    , dialect_(product_target_dialect())
     , prober_(
           {.timers = &timers,
            .pool = [this]() -> target_pool& { return instance_.targets(); },
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -1,6 +1,6 @@
 #include <catkintally/entry/process/probing_process.hpp>
 #include <catkintally/entry/process/process_parts.hpp>
-#include <catkintally/entry/targets/load_field.hpp>
+#include <catkintally/entry/targets/product_target_dialect.hpp>
 #include <catkintally/platform/objects/platform_limits.hpp>
 #include <catkintally/platform/platform_target_dialect.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
@@ -28,9 +28,7 @@
     {
         return platform::platform_target_dialect();
     }
-    core::target_dialect own;
-    own.load = parse_load_field;
-    return own;
+    return product_target_dialect();
 }
 
 std::string ms_text(core::duration time)
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -19,6 +19,7 @@
     , opened_(metrics.counter("catkintally_target_connections_opened_total"))
     , reused_(metrics.counter("catkintally_target_connections_reused_total"))
     , closed_(metrics.counter("catkintally_target_connections_closed_total"))
+    , unknown_headers_(limits_.known_headers, metrics)
 {
     close_stale();
 }
@@ -107,6 +108,10 @@
     {
         retire(std::move(entry.connection));
     }
+    if (result.result == dispatch_result::answered)
+    {
+        unknown_headers_.inspect(entry.address, result.answer->headers);
+    }
     if (result.result == dispatch_result::lost)
     {
         log_lost(entry.address, state, result.detail);
