--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -105,8 +105,10 @@
         line, fields = head
         status = int(line.split()[1])
         expected = [body_of(name, path, body) for name in service.split("|")]
-        checks.answered(request, status, fields.get("x-catkintally-upstream-signature"), answer,
-                        expected)
+        signature = fields.get("x-catkintally-upstream-signature")
+        checks.answered(request, status, signature, answer, expected)
+        if signature is not None and "server-limit" in fields:
+            checks.limits.passed_on(signature, request.instance, time.monotonic())
         if fields.get("connection", "").lower() == "close":
             await self.close()
         return status, float(fields.get("retry-after", "0"))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -1,6 +1,8 @@
 """The promises that a soak checks, from what callers and targets see. Times are of one steady clock."""
 import collections
 
+from .limit_check import LimitCheck
+
 PROMISES = (408, 421, 429, 503)
 # Bounds of the platform's pages; the soak passes the same ones to the instances.
 DRAIN_S = 2.0
@@ -52,6 +54,7 @@
         self.firsts = collections.defaultdict(list)
         self.reached = set()
         self.cold_arrivals = collections.defaultdict(collections.deque)
+        self.limits = LimitCheck()
 
     def broken(self, rule, detail):
         self.violations.append((rule, detail))
@@ -100,6 +103,8 @@
     def arrived(self, target, request, now):
         self.arrivals[target.service].append((now, request in self.reached))
         self.reached.add(request)
+        if request in self.requests:
+            self.limits.arrived(target.name, self.requests[request].instance, now)
         since = self.drained.get(target.name)
         if since is not None and self.in_force(since, now, DRAIN_S):
             self.broken("drain", f"{request} reached {target.name} {now - since:.1f} s after it "
@@ -154,6 +159,8 @@
             firsts = [at for name, times in self.firsts.items() if service in name.split("|")
                       for at in times]
             self.check_retries(service, arrivals, firsts)
+        for detail in self.limits.broken():
+            self.broken("limit", detail)
         calm = [each for each in self.requests.values() if each.sent_at >= calm_from]
         served = sum(each.status is not None and 200 <= each.status < 300 for each in calm)
         if served < SERVED_SHARE * len(calm):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -7,6 +7,9 @@
 from .instances import LOADING_S
 from .targets import CRASHING_PATH
 
+# Limits that targets name, in requests a second.
+LIMITS = (0.5, 1.0, 1.1, 1.5, 3.0, 8.0, 40.0, 300.0)
+
 
 async def instance_killed(world, pick):
     instance = pick.choice(world.instances)
@@ -31,9 +34,11 @@
 async def instance_paused(world, pick):
     instance = pick.choice(world.instances)
     async with world.holding(instance):
+        begin = time.monotonic()
         instance.signal(signal.SIGSTOP)
         await asyncio.sleep(pick.uniform(0.2, 4.0))
         instance.signal(signal.SIGCONT)
+        world.checks.limits.excuse(instance.run_name, begin, time.monotonic())
 
 
 async def instance_restarted(world, pick):
@@ -58,7 +63,11 @@
 
 
 async def target_link_harmed(world, pick):
-    await harm([pick.choice(world.targets).proxy], pick)
+    target = pick.choice(world.targets)
+    begin = time.monotonic()
+    await harm([target.proxy], pick)
+    # Requests that the link held back arrive together.
+    world.checks.limits.excuse(target.name, begin, time.monotonic())
 
 
 async def harm(proxies, pick):
@@ -118,6 +127,22 @@
     setattr(target, name, usual)
 
 
+async def target_names_limits(world, pick):
+    """Names a limit, changes it a few times, withdraws it and perhaps names it again."""
+    target = pick.choice(world.targets)
+    if target.limit is not None:
+        return
+    incarnation = target.incarnation
+    limits = [pick.choice(LIMITS) for _ in range(pick.randint(1, 3))]
+    if pick.random() < 0.3:
+        limits += [None, pick.choice(LIMITS)]
+    for limit in limits + [None]:
+        if target.incarnation != incarnation:
+            return
+        target.set_limit(limit)
+        await asyncio.sleep(pick.uniform(1.0, 8.0))
+
+
 async def target_replaced(world, pick):
     """A planned departure; its successor starts cold at the same address."""
     target = pick.choice(world.targets)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -35,6 +35,8 @@
     100: "SIGTERM or SIGHUP at the start of main() ended the process by the signal",
     204: "instances that were restarted let a crashing request crash further targets",
 }
+# Mean time between targets that begin to name limits.
+LIMIT_PAUSE_S = 1.5
 # After the last fault, before promises of a calm system are judged.
 SETTLE_S = 5.0
 
@@ -169,6 +171,16 @@
             await asyncio.sleep(self.random.expovariate(1 / pause))
         await asyncio.gather(*running)
 
+    async def limit_series(self, pause):
+        """Targets name limits at random times; a generator of its own keeps the faults of a seed."""
+        pick = random.Random(self.seed + 1)
+        running = set()
+        while True:
+            task = asyncio.create_task(faults.target_names_limits(self, pick))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(pick.expovariate(1 / pause))
+
     def log(self, text):
         with open(self.directory / "faults.log", "a", encoding="utf-8") as log:
             log.write(f"{time.monotonic():.3f} {text}\n")
@@ -180,12 +192,17 @@
                 instance.check_alive()
             await asyncio.sleep(0.1)
 
-    async def run(self, short):
-        start_s, faults_s, calm_s = PHASES[short]
+    async def start_ready(self):
+        """Starts everything; returns the tasks that watch the instances, once all are ready."""
         await self.start()
-        background = [asyncio.create_task(each.watch_health()) for each in self.instances]
+        watching = [asyncio.create_task(each.watch_health()) for each in self.instances]
         while not all(each.ready for each in self.instances):
             await asyncio.sleep(0.1)
+        return watching
+
+    async def run(self, short):
+        start_s, faults_s, calm_s = PHASES[short]
+        background = await self.start_ready()
         callers = [Caller(self, number) for number in range(CALLERS)]
         calls = [asyncio.create_task(each.run()) for each in callers]
         background.append(asyncio.create_task(self.keep_alive()))
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -31,6 +31,8 @@
         self.shed = 0.0
         self.lose = 0.0
         self.surplus = 0.0
+        # Requests a second from all instances together, named in each answer; None names nothing.
+        self.limit = None
         self.up = False
         self.writers = set()
         self.running = 0
@@ -54,6 +56,8 @@
         self.cold_until = time.monotonic() + cold_s
         self.free = asyncio.Semaphore(self.slots)
         self.running = self.waiting = 0
+        # A new incarnation knows nothing of the limit of the last one.
+        self.limit = None
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
         self.proxy.target_port = port
@@ -140,10 +144,21 @@
         return http_text.message(
             "HTTP/1.1 200 OK" if ready else "HTTP/1.1 503 Service Unavailable", fields)
 
+    def name_limit(self, marks):
+        marks.pop("Server-Limit", None)
+        if self.limit is not None:
+            marks["Server-Limit"] = f"{self.limit:g}"
+
+    def set_limit(self, limit):
+        """Names another limit from now on; None withdraws it."""
+        self.limit = limit
+        self.world.checks.limits.named(self.name, limit, time.monotonic())
+
     async def answer(self, method, path, fields, body):
         """Bytes of the answer; None loses it."""
         request = fields.get("x-catkintally-attempt-id", "")
         marks = {"X-Catkintally-Attempt-Id": request, "X-Catkintally-Upstream-Load": self.load()}
+        self.name_limit(marks)
         if fields.get("x-catkintally-expect-instance", self.name) != self.name:
             return http_text.message("HTTP/1.1 421 Misdirected Request", marks)
         self.world.checks.arrived(self, request, time.monotonic())
@@ -169,4 +184,5 @@
             return None
         marks["X-Catkintally-Upstream-Signature"] = self.name
         marks["X-Catkintally-Upstream-Load"] = self.load()
+        self.name_limit(marks)
         return http_text.message("HTTP/1.1 200 OK", marks, body_of(self.service, path, body))
--- a/tools/soak/test_checks.py
+++ b/tools/soak/test_checks.py
@@ -2,6 +2,7 @@
 import unittest
 
 from .checks import Checks, Request
+from .limit_check import LimitCheck
 
 
 class Place:
@@ -37,6 +38,10 @@
                            c.crashing("/c", 9.0)),
     "lost": lambda c: c.cut(order(c), True),
     "recover": lambda c: (order(c), c.finish(9.0)),
+    "limit": lambda c: (c.limits.named("t1", 1.0, 0.0), c.limits.passed_on("t1", "i0", 0.1),
+                        [(c.sent(Request(f"r{n}", "i0", "GET", "/l/1", b"", True, "order", 9.0)),
+                          c.arrived(Place, f"r{n}", 9.0 + n / 10)) for n in range(12)],
+                        c.finish(99.0)),
     "retries": lambda c: (order(c), [c.arrived(Place, "r1", 8 + n / 100) for n in range(60)],
                           c.finish(99.0)),
 }
@@ -69,5 +74,37 @@
         self.assertEqual(checks.violations, [])
 
 
+class LimitCheckTest(unittest.TestCase):
+    """Guards against a check of limits that counts otherwise than the platform's rule."""
+
+    def found(self, count=12, told=0.1, begin=9.0, changes=((0.0, 1.0),), excuse=None):
+        check = LimitCheck()
+        for at, limit in changes:
+            check.named("t1", limit, at)
+            if limit is not None:
+                check.passed_on("t1", "i0", at + told)
+        if excuse:
+            check.excuse("i0", *excuse)
+        for number in range(count):
+            check.arrived("t1", "i0", begin + number / 10)
+        return len(list(check.broken()))
+
+    def test_cases(self):
+        cases = [
+            ("one too many", {}, 1),
+            ("as many as allowed", {"count": 11}, 0),
+            ("soon after the first naming", {"begin": 1.0}, 0),
+            ("an instance that was not told", {"told": 8.8, "count": 11}, 0),
+            ("a withdrawn limit", {"changes": ((0.0, 1.0), (8.5, None))}, 0),
+            ("a raised limit", {"changes": ((0.0, 1.0), (8.0, 2.0))}, 0),
+            ("a lowered limit", {"changes": ((0.0, 2.0), (5.0, 1.0))}, 1),
+            ("named again", {"changes": ((0.0, 1.0), (5.0, None), (7.0, 1.0))}, 1),
+            ("a paused instance", {"excuse": (5.0, 7.0)}, 0),
+        ]
+        for name, given, count in cases:
+            with self.subTest(name):
+                self.assertEqual(self.found(**given), count)
+
+
 if __name__ == "__main__":
     unittest.main()
