--- a/packages/entry/tests/news/gossip_node_test.cpp
+++ b/packages/entry/tests/news/gossip_node_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -69,7 +71,26 @@
                         return std::erase_if(
                                    crashes,
                                    [&](const auto& each) { return each.first == fingerprint; }) > 0;
-                    }});
+                    },
+                .on_target_limit =
+                    [this](const core::target_limit& limit)
+                {
+                    const bool added = limits.emplace(limit.target, limit).second;
+                    return added;
+                },
+                .target_limits =
+                    [this]
+                {
+                    std::vector<core::target_limit> known;
+                    for (const auto& [target, limit] : limits)
+                    {
+                        known.push_back(limit);
+                    }
+                    return known;
+                },
+                .on_demand = [this](const std::vector<core::demand_report>& received)
+                { demand.insert(demand.end(), received.begin(), received.end()); },
+                .demand_reports = [this] { return demand; }});
         REQUIRE(node->start());
     }
 
@@ -100,6 +121,8 @@
     std::string address;
     std::optional<object_update> known;
     std::set<std::pair<std::uint64_t, std::string>> crashes;
+    std::map<std::string, core::target_limit> limits;
+    std::vector<core::demand_report> demand;
     std::vector<std::string> reader_statuses;
     std::unique_ptr<gossip_node> node;
 };
@@ -275,3 +298,82 @@
     reader.node->broadcast_reader_state(wire::reader_state::reached);
     CHECK(fixture.wait_for_version(8));
 }
+
+// Guards against rate limits that only the instance that read them keeps, and against instances
+// that start without those that are in force (issue 28).
+TEST_CASE("the rate limit of a target reaches every instance, also one that starts later")
+{
+    gossip_fixture fixture;
+    for (const char* name : {"i0", "i1", "i2", "i3", "i4", "i5"})
+    {
+        fixture.add(name);
+    }
+    REQUIRE(fixture.wait_until_all([](const test_instance& each)
+                                   { return each.node->counters().links_opened > 0; }));
+    core::target_limit limit{
+        .service = "desk", .target = "t1", .incarnation = 7, .version = 3, .source = "i0"};
+    limit.per_second = 1.5;
+    fixture.instances[0]->limits["t1"] = limit;
+    fixture.instances[0]->node->broadcast_limit(limit);
+    CHECK(fixture.wait_until_all([](const test_instance& each)
+                                 { return each.limits.contains("t1"); }));
+
+    // More than one message of each kind.
+    for (std::uint32_t number = 0; number < 1500; ++number)
+    {
+        core::target_limit other = limit;
+        other.target = "more" + std::to_string(number);
+        for (const auto& each : fixture.instances)
+        {
+            each->limits.emplace(other.target, other);
+            each->demand.push_back(
+                {.instance = number,
+                 .incarnation = 2,
+                 .service = 3,
+                 .failure_domain = 4,
+                 .sequence = 5,
+                 .per_second = 0.25,
+                 .age = 6ms});
+        }
+    }
+    const test_instance& late = fixture.add("i6");
+    REQUIRE(fixture.wait_until_all(
+        [&](const test_instance&)
+        { return late.limits.size() >= 1501 && late.demand.size() >= 1500; }));
+    const core::target_limit& received = late.limits.at("t1");
+    CHECK(received.service == "desk");
+    CHECK(received.incarnation == 7);
+    CHECK(received.version == 3);
+    CHECK(received.per_second == std::optional(1.5));
+    CHECK(received.source == "i0");
+    const core::demand_report& report = late.demand.front();
+    CHECK(report.incarnation == 2);
+    CHECK(report.service == 3);
+    CHECK(report.failure_domain == 4);
+    CHECK(report.sequence == 5);
+    CHECK(report.per_second == 0.25);
+    CHECK(report.age >= 6ms);
+}
+
+// Guards against figures of a faulty neighbour that change what targets get.
+TEST_CASE("rate limits that are no finite number are not taken from a neighbour")
+{
+    gossip_fixture fixture;
+    test_instance& sender = fixture.add("i0");
+    test_instance& receiver = fixture.add("i1");
+    REQUIRE(fixture.wait_until_all([](const test_instance& each)
+                                   { return each.node->counters().links_opened > 0; }));
+    core::target_limit limit{.service = "desk", .target = "absurd", .version = 1, .source = "i0"};
+    for (const double per_second :
+         {std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity(), -1.0})
+    {
+        limit.per_second = per_second;
+        sender.node->broadcast_limit(limit);
+    }
+    limit.target = "valid";
+    limit.per_second = 2;
+    sender.node->broadcast_limit(limit);
+    REQUIRE(fixture.wait_until_all([&](const test_instance&)
+                                   { return receiver.limits.contains("valid"); }));
+    CHECK_FALSE(receiver.limits.contains("absurd"));
+}
