Limits: withdrawn after two responses without one, tighter count of missing reports

A target that leaves its limit out of one response was free of it at once, and all instances sent to it until the next response named it. Two responses in a row now withdraw a limit.

With a third of all reports lost for good, shares added up to 130 % of a limit: instances without a report were only counted beyond a quarter of the estimated fleet (78 requests in 4 s at a limit of 12, allowed 77). They count beyond a tenth now. Reports are renewed every 20 s instead of 10, which halves their cost at 471 instances.

--- a/packages/core/include/catkintally/core/limits/demand_directory.hpp
+++ b/packages/core/include/catkintally/core/limits/demand_directory.hpp
@@ -31,11 +31,11 @@
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
     /// Instances renew their reports at this interval.
-    static constexpr duration renewal_interval = std::chrono::seconds(10);
+    static constexpr duration renewal_interval = std::chrono::seconds(20);
 
     /// Long enough to ride out lost or late reports. The share of an instance that was killed is
     /// unused for this long.
-    static constexpr duration retention_time = std::chrono::seconds(30);
+    static constexpr duration retention_time = std::chrono::seconds(45);
 
     /// Reports kept; enough for tens of limited services in the largest planned fleet.
     static constexpr std::size_t max_reports = 65'536;
--- a/packages/core/include/catkintally/core/limits/target_limit_registry.hpp
+++ b/packages/core/include/catkintally/core/limits/target_limit_registry.hpp
@@ -20,6 +20,8 @@
     target_limit limit;
     /// Time at which this instance learned of the limit.
     time_point since{};
+    /// Consecutive responses of executed requests without a limit.
+    std::uint32_t absent_in_a_row = 0;
 };
 
 /// A statement about the limit of a target in a response that this instance received.
@@ -38,7 +40,8 @@
 /// A limit is replaced by one with a higher version, and at equal versions by the lower limit, so
 /// that the order in which news arrive does not matter. A response to a request that was sent
 /// before the current limit became known may be older than it; such a response can only lower the
-/// limit.
+/// limit. A limit counts as withdrawn after two responses without one, so that a target that leaves
+/// it out once is not flooded.
 class target_limit_registry
 {
 public:
--- a/packages/core/src/limits/limit_share.cpp
+++ b/packages/core/src/limits/limit_share.cpp
@@ -25,7 +25,7 @@
 
 /// Average demand of the holders, as a multiple of their share. Callers come at random, so a holder
 /// with less demand would often have a token and no request.
-constexpr double demand_per_share = 1.4;
+constexpr double demand_per_share = 1.8;
 
 /// Requests that all holders together may have saved up, as a multiple of the limit and a constant.
 constexpr double burst_seconds = 1.75;
--- a/packages/core/src/limits/target_limit_registry.cpp
+++ b/packages/core/src/limits/target_limit_registry.cpp
@@ -12,6 +12,9 @@
 /// How long the limit of a target without a row is kept. The row follows within seconds.
 constexpr duration unlisted_retention = std::chrono::seconds(30);
 
+/// Responses without a limit, one after the other, that withdraw it.
+constexpr std::uint32_t absent_to_withdraw = 2;
+
 constexpr double no_limit = std::numeric_limits<double>::infinity();
 
 double rate_or_infinity(const std::optional<double>& per_second)
@@ -50,13 +53,22 @@
     std::uint64_t version = 1;
     if (found != limits_.end())
     {
-        const double stated = named ? observed.statement.per_second : no_limit;
+        const double stated =
+            rate_or_infinity(named ? std::optional(observed.statement.per_second) : std::nullopt);
         const double current = rate_or_infinity(found->second.limit.per_second);
         const bool may_be_older = observed.sent_at < found->second.since;
+        if (named)
+        {
+            found->second.absent_in_a_row = 0;
+        }
         if (stated == current || (may_be_older && stated > current))
         {
             return false;
         }
+        if (!named && ++found->second.absent_in_a_row < absent_to_withdraw)
+        {
+            return false;
+        }
         version = found->second.limit.version + 1;
     }
     known_limit& replaced = limits_[name];
@@ -71,6 +83,7 @@
         replaced.limit.per_second = observed.statement.per_second;
     }
     replaced.since = now;
+    replaced.absent_in_a_row = 0;
     return true;
 }
 
--- a/packages/core/src/limits/target_rate_limiter.cpp
+++ b/packages/core/src/limits/target_rate_limiter.cpp
@@ -36,7 +36,7 @@
 
 /// Estimated number of instances for each one that is certain to exist. The estimate is within a
 /// fifth of the true number.
-constexpr double estimate_tolerance = 1.25;
+constexpr double estimate_tolerance = 1.1;
 
 /// Largest part of a token, less than a whole one.
 constexpr double largest_fraction = 0.99;
--- a/packages/core/tests/limits/demand_directory_test.cpp
+++ b/packages/core/tests/limits/demand_directory_test.cpp
@@ -33,7 +33,7 @@
         {"next incarnation", {.instance = 1, .incarnation = 2, .service = 1, .sequence = 1}, true},
         {"other service", {.instance = 1, .incarnation = 2, .service = 2, .sequence = 1}, true},
         {"expired",
-         {.instance = 2, .incarnation = 1, .service = 1, .sequence = 1, .age = 31s},
+         {.instance = 2, .incarnation = 1, .service = 1, .sequence = 1, .age = 46s},
          false}};
     demand_directory directory;
     time_point now = start;
@@ -53,11 +53,11 @@
     directory.merge({.instance = 1, .service = 1, .sequence = 1, .per_second = 2}, start);
     directory.merge({.instance = 2, .service = 1, .sequence = 1, .per_second = 2}, start + 20s);
     CHECK(directory.demands(1).size() == 2);
-    directory.remove_expired(start + 31s);
+    directory.remove_expired(start + 46s);
     CHECK(directory.demands(1).size() == 1);
-    directory.merge({.instance = 2, .service = 1, .sequence = 2, .per_second = -1}, start + 32s);
+    directory.merge({.instance = 2, .service = 1, .sequence = 2, .per_second = -1}, start + 47s);
     CHECK(directory.demands(1).empty());
-    directory.remove_expired(start + 63s);
+    directory.remove_expired(start + 93s);
     CHECK(directory.size() == 0);
 }
 
--- a/packages/core/tests/limits/target_rate_limiter_test.cpp
+++ b/packages/core/tests/limits/target_rate_limiter_test.cpp
@@ -241,6 +241,43 @@
     CHECK(fleet.rate(0, from) > 40);
 }
 
+// Guards against limits that hold for one target at a time only.
+TEST_CASE("many targets of a service name limits at the same time")
+{
+    struct row
+    {
+        std::size_t instances;
+        std::size_t targets;
+        double requests_per_s;
+    };
+    const auto sample = GENERATE(values<row>({{13, 8, 60}, {127, 40, 300}}));
+    const std::vector<double> limits = {0.5, 1, 3, 8};
+    limited_fleet fleet(
+        {.instances = sample.instances,
+         .targets = sample.targets,
+         .requests_per_s = sample.requests_per_s,
+         .service_time = 5ms});
+    fleet.run(8s);
+    double sum = 0;
+    for (std::size_t target = 0; target < sample.targets; ++target)
+    {
+        fleet.set_limit(target, limits[target % limits.size()]);
+        sum += limits[target % limits.size()];
+    }
+    fleet.run(contact_time);
+    const time_point from = fleet.timers.now();
+    fleet.run(25s);
+    double rate = 0;
+    for (std::size_t target = 0; target < sample.targets; ++target)
+    {
+        INFO("target " << target);
+        CHECK(fleet.largest_window(target, from) <= allowed(limits[target % limits.size()]));
+        rate += fleet.rate(target, from);
+    }
+    CHECK(rate <= 1.1 * sum);
+    CHECK(rate >= 0.8 * sum);
+}
+
 // Guards against requests that wait or fail although another target has room, and against requests
 // that wait although no target can take them.
 TEST_CASE("work moves to other targets, and what no target can take is refused at once")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -107,6 +107,8 @@
         expected = [body_of(name, path, body) for name in service.split("|")]
         signature = fields.get("x-catkintally-upstream-signature")
         checks.answered(request, status, signature, answer, expected)
+        if status == 503:
+            checks.retry_after.append(fields.get("retry-after"))
         if signature is not None and "server-limit" in fields:
             checks.limits.passed_on(signature, request.instance, time.monotonic())
         if fields.get("connection", "").lower() == "close":
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -55,6 +55,8 @@
         self.reached = set()
         self.cold_arrivals = collections.defaultdict(collections.deque)
         self.limits = LimitCheck()
+        # Retry-After of each 503, as text; None if it was missing.
+        self.retry_after = []
 
     def broken(self, rule, detail):
         self.violations.append((rule, detail))
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -33,6 +33,7 @@
         self.surplus = 0.0
         # Requests a second from all instances together, named in each answer; None names nothing.
         self.limit = None
+        self.arrived = 0
         self.up = False
         self.writers = set()
         self.running = 0
@@ -147,12 +148,15 @@
     def name_limit(self, marks):
         marks.pop("Server-Limit", None)
         if self.limit is not None:
-            marks["Server-Limit"] = f"{self.limit:g}"
+            # A text is named as it is, for malformed limits.
+            marks["Server-Limit"] = (
+                self.limit if isinstance(self.limit, str) else f"{self.limit:g}")
 
     def set_limit(self, limit):
         """Names another limit from now on; None withdraws it."""
         self.limit = limit
-        self.world.checks.limits.named(self.name, limit, time.monotonic())
+        if not isinstance(limit, str):
+            self.world.checks.limits.named(self.name, limit, time.monotonic())
 
     async def answer(self, method, path, fields, body):
         """Bytes of the answer; None loses it."""
@@ -161,6 +165,7 @@
         self.name_limit(marks)
         if fields.get("x-catkintally-expect-instance", self.name) != self.name:
             return http_text.message("HTTP/1.1 421 Misdirected Request", marks)
+        self.arrived += 1
         self.world.checks.arrived(self, request, time.monotonic())
         if self.waiting >= 4 or self.world.chance(self.shed):
             marks["X-Catkintally-Not-Executed"] = "1"
--- a/tools/soak/test_server_limit.py
+++ b/tools/soak/test_server_limit.py
@@ -1,15 +1,16 @@
 """Real instances against targets that name limits, without other faults."""
 import asyncio
 import tempfile
-import time
 import unittest
 from pathlib import Path
 
 from .callers import Caller
-from .limit_check import CONTACT_S
 from .soak import CALLERS, World
 
-RUN_S = 14.0
+WARM_UP_S = 3.0
+# Until the instances know of the limits and of each other's demand.
+LEARNT_S = 6.0
+RUN_S = 10.0
 SLOT = 6
 
 
@@ -19,31 +20,35 @@
     def __init__(self, limits, seed):
         self.limits = limits
         self.world = World(seed, SLOT, Path(tempfile.mkdtemp(prefix="catkintally-limit-")))
-        self.arrivals = {}
+        # Requests per second by target number, from LEARNT_S after the naming.
+        self.rates = {}
 
     async def play(self):
         world = self.world
         try:
             watching = await world.start_ready()
             calls = [asyncio.create_task(Caller(world, number).run()) for number in range(CALLERS)]
-            await asyncio.sleep(1.0)
-            begin = time.monotonic()
+            await asyncio.sleep(WARM_UP_S)
             for number, limit in self.limits.items():
                 world.targets[number].set_limit(limit)
+            await asyncio.sleep(LEARNT_S)
+            before = {number: world.targets[number].arrived for number in self.limits}
             await asyncio.sleep(RUN_S)
+            for number in self.limits:
+                arrived = world.targets[number].arrived - before[number]
+                self.rates[number] = arrived / RUN_S
             for each in calls + watching:
                 each.cancel()
             await asyncio.gather(*calls, *watching, return_exceptions=True)
-            end = time.monotonic()
-            for number in self.limits:
-                name = world.targets[number].name
-                counted = [at for at, _ in world.checks.limits.arrivals[name]
-                           if at >= begin + CONTACT_S]
-                self.arrivals[number] = len(counted) / (end - begin - CONTACT_S)
             await world.close()
         finally:
             world.stop()
 
+    @property
+    def too_many(self):
+        """Broken limits, and other broken promises."""
+        return list(self.world.checks.limits.broken()) + self.world.checks.violations
+
 
 class ServerLimitTest(unittest.TestCase):
     """Guards against targets that get more requests than the limit that they name in their answers,
@@ -56,7 +61,23 @@
 
     def test_a_target_gets_no_more_than_its_limit_from_all_instances(self):
         day = self.day({0: 1.0, 4: 1.5, 9: 3.0})
-        self.assertEqual(list(day.world.checks.limits.broken()), [])
+        self.assertEqual(day.too_many, [])
+
+    def test_a_service_whose_targets_all_name_limits_gets_what_they_take(self):
+        orders = {number: 2.0 for number in range(9, 15)}
+        day = self.day(orders)
+        self.assertEqual(day.too_many, [])
+        self.assertGreater(sum(day.rates.values()), 0.8 * sum(orders.values()))
+        refusals = day.world.checks.retry_after
+        self.assertGreater(len(refusals), 50)
+        self.assertTrue(all(text and float(text) > 0 for text in refusals))
+
+    def test_a_malformed_limit_changes_nothing(self):
+        day = self.day({0: "many", 1: "-1", 2: "1e99", 3: "", 4: "nan"})
+        self.assertEqual(day.too_many, [])
+        # About 70 lookups a second over nine targets.
+        for rate in day.rates.values():
+            self.assertGreater(rate, 3.0)
 
 
 if __name__ == "__main__":
