Pass on the Retry-After of targets that refuse a request

A caller whose request was refused by every target that was tried was told to come back after 0.3 s, whatever the targets themselves named: their Retry-After was read by nobody. The longest time of the targets that refused, or of the admission that refused the repetition, is passed on, 30 s at most; malformed ones are ignored. The test failed before (0.3 for 2 and 1.25).

--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -109,6 +109,8 @@
     std::string target_;
     /// A target refused the request without executing it.
     bool target_refused_ = false;
+    /// Retry-After of those refusals, the longest one.
+    core::duration target_retry_after_;
     /// Latest response with status 500 or above to an idempotent request; forwarded if no other
     /// attempt is answered.
     std::shared_ptr<const core::stored_answer> failed_answer_;
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/entry/http/exchange.hpp>
 #include <catkintally/entry/http/header_rules.hpp>
+#include <catkintally/entry/http/retry_after.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -49,6 +50,7 @@
     , pending_request_(&call)
     , plan_(std::move(plan))
     , ended_(std::move(ended))
+    , target_retry_after_(refused_retry_after)
 {
 }
 
@@ -256,6 +258,9 @@
     {
         report_completion(core::completion_outcome::not_run, end);
         target_refused_ = true;
+        target_retry_after_ = std::max(
+            target_retry_after_,
+            parse_retry_after(end.answer->headers).value_or(core::duration::zero()));
         retry_or_respond({.status = 502, .claim = execution_claim(), .reason = "target_refused"});
         return;
     }
@@ -300,7 +305,7 @@
             {.status = 503,
              .claim = execution_claim(),
              .reason = "target_refused",
-             .retry_after = refused_retry_after});
+             .retry_after = std::max(target_retry_after_, fallback.retry_after)});
         return;
     }
     refuse(fallback);
--- a/packages/entry/tests/http/target_answers_test.cpp
+++ b/packages/entry/tests/http/target_answers_test.cpp
@@ -205,3 +205,33 @@
         field_of(response, "catkintally-reason") ==
         (unreachable ? "target_unreachable" : "target_refused"));
 }
+
+// Guards against callers that are told to come back before the time that their target named.
+TEST_CASE("a refusal passes on the longest Retry-After of the targets that refused")
+{
+    struct row
+    {
+        const char* name;
+        std::string field;
+        std::string retry_after;
+    };
+    const auto sample = GENERATE(values<row>(
+        {{"seconds", "Retry-After: 2\r\n", "2.0"},
+         {"fraction", "Retry-After: 1.25\r\n", "1.3"},
+         {"shorter than usual", "Retry-After: 0.1\r\n", "0.3"},
+         {"none", "", "0.3"},
+         {"malformed", "Retry-After: soon\r\n", "0.3"},
+         {"negative", "Retry-After: -5\r\n", "0.3"},
+         {"absurd", "Retry-After: 999999999\r\n", "30.0"}}));
+    INFO(sample.name);
+    catkintally::core::target_dialect dialect;
+    dialect.fractional_retry_after = true;
+    instance_fixture fixture([](auto&) {}, dialect);
+    scripted_target busy(
+        fixture.loop,
+        {.answer = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n" + sample.field + "\r\nbusy"});
+    fixture.grant({busy.address()});
+    const std::string response = fixture.ask(instance_fixture::request("POST"));
+    CHECK(status_of(response) == 503);
+    CHECK(field_of(response, "Retry-After") == sample.retry_after);
+}
