--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace catkintally::stand_ins
 {
@@ -68,6 +69,10 @@
     void set_failing(bool failing) { failing_ = failing; }
     void set_report(report_mode mode) { report_ = mode; }
 
+    /// Text of the rate limit that all answers name from now on; empty: none. Not enforced here.
+    void set_rate_limit(std::string text) { rate_limit_ = std::move(text); }
+    [[nodiscard]] const std::string& rate_limit() const { return rate_limit_; }
+
     [[nodiscard]] bool cold() const { return cold_; }
     [[nodiscard]] const target_options& options() const { return options_; }
     /// Value of the response header `catkintally-load`.
@@ -113,6 +118,7 @@
     core::time_point collapsed_until_{};
     core::time_point drained_at_{};
     bool close_next_ = false;
+    std::string rate_limit_;
     std::string stale_report_;
     core::time_point stale_at_{};
 };
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_server.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_server.hpp
@@ -8,6 +8,7 @@
 
 struct evhttp;
 struct evhttp_request;
+struct evkeyvalq;
 
 namespace catkintally::stand_ins
 {
@@ -38,6 +39,8 @@
 
     void open();
     void close();
+    /// Adds what the target says about itself to an answer.
+    void add_state(evkeyvalq* headers);
     void handle(evhttp_request* request);
     void answer(std::uint64_t id, const target_answer& given);
     static void on_request(evhttp_request* request, void* context);
--- a/packages/stand_ins/src/target/target_control.cpp
+++ b/packages/stand_ins/src/target/target_control.cpp
@@ -32,7 +32,7 @@
 
 bool known_member(const std::string& name, const boost::json::value& value)
 {
-    if (name == "target")
+    if (name == "target" || name == "rate_limit")
     {
         return value.is_string();
     }
@@ -72,6 +72,10 @@
             length == nullptr ? std::int64_t{1000} : length->to_number<std::int64_t>();
         target.set_slow(factor->to_number<double>(), std::chrono::milliseconds(milliseconds));
     }
+    if (const auto* limit = control.if_contains("rate_limit"))
+    {
+        target.set_rate_limit(std::string(limit->as_string()));
+    }
     if (const bool* drain = flag("drain"))
     {
         target.set_draining(*drain);
--- a/packages/stand_ins/src/target/target_server.cpp
+++ b/packages/stand_ins/src/target/target_server.cpp
@@ -112,6 +112,15 @@
     }
 }
 
+void target_server::add_state(evkeyvalq* headers)
+{
+    evhttp_add_header(headers, "catkintally-load", model_.load_report().c_str());
+    if (!model_.rate_limit().empty())
+    {
+        evhttp_add_header(headers, "catkintally-rate-limit", model_.rate_limit().c_str());
+    }
+}
+
 void target_server::on_request(evhttp_request* request, void* context)
 {
     static_cast<target_server*>(context)->handle(request);
@@ -127,9 +136,7 @@
     const std::string path = evhttp_request_get_uri(request);
     if (path == "/healthz")
     {
-        evhttp_add_header(
-            evhttp_request_get_output_headers(request), "catkintally-load",
-            model_.load_report().c_str());
+        add_state(evhttp_request_get_output_headers(request));
         evhttp_send_reply(request, 200, "OK", nullptr);
         return;
     }
@@ -197,7 +204,7 @@
         return;
     }
     evkeyvalq* headers = evhttp_request_get_output_headers(ended.request);
-    evhttp_add_header(headers, "catkintally-load", model_.load_report().c_str());
+    add_state(headers);
     evhttp_add_header(headers, "content-type", "application/json");
     if (given.not_run)
     {
--- a/packages/stand_ins/tests/target/target_model_test.cpp
+++ b/packages/stand_ins/tests/target/target_model_test.cpp
@@ -164,3 +164,15 @@
     CHECK(apply_control(b.target, {{"cold", true}}).empty());
     CHECK(b.target.cold());
 }
+
+// Guards against a stand-in that cannot show what its callers do with a rate limit.
+TEST_CASE("a target names the rate limit that it is told to name", "[target]")
+{
+    bench b;
+    CHECK(b.target.rate_limit().empty());
+    CHECK(stand_ins::apply_control(b.target, {{"rate_limit", "1.5"}}).empty());
+    CHECK(b.target.rate_limit() == "1.5");
+    CHECK(stand_ins::apply_control(b.target, {{"rate_limit", ""}}).empty());
+    CHECK(b.target.rate_limit().empty());
+    CHECK_FALSE(stand_ins::apply_control(b.target, {{"rate_limit", 2}}).empty());
+}
