Split the limiter: demand exchange, own demand, waiting for tokens

The limiter held the measuring and exchange of demand beside the enforcement of limits; demand_exchange and own_demand now do the former. What the gateway does about limits is in probing_gateway_limits.cpp. Limits that there is no room for are logged (4008). No change of behaviour otherwise.

--- a/packages/core/include/catkintally/core/limits/target_limit_registry.hpp
+++ b/packages/core/include/catkintally/core/limits/target_limit_registry.hpp
@@ -60,6 +60,9 @@
     /// Applies a limit that another instance sent; true if it was unknown here.
     bool merge(const target_limit& received, time_point now);
 
+    /// True if the limit is unknown and there is no room for it.
+    [[nodiscard]] bool is_full_for(const target_limit& received) const;
+
     /// The limit of the target's incarnation, or nullptr if none is known. A limit that was
     /// withdrawn is returned with an empty rate.
     [[nodiscard]] const known_limit*
@@ -74,7 +77,7 @@
 
     [[nodiscard]] std::size_t size() const { return limits_.size(); }
 
-    /// Limits kept of targets that are not in the table.
+    /// Most limits that are kept.
     static constexpr std::size_t max_limits = 16'384;
 
 private:
--- a/packages/core/include/catkintally/core/limits/target_rate_limiter.hpp
+++ b/packages/core/include/catkintally/core/limits/target_rate_limiter.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
 #include <catkintally/core/admission/split_mix.hpp>
-#include <catkintally/core/limits/demand_directory.hpp>
-#include <catkintally/core/limits/demand_meter.hpp>
+#include <catkintally/core/limits/demand_exchange.hpp>
 #include <catkintally/core/limits/limit_share.hpp>
 #include <catkintally/core/limits/target_limit_registry.hpp>
 #include <catkintally/core/limits/token_bucket.hpp>
@@ -39,10 +38,13 @@
     /// Called when a limit that applies to a target of the table has changed; may be empty.
     /// `previous` is empty if there was none.
     std::function<void(const target_limit& current, std::optional<double> previous)> on_changed{};
-    /// Called for a malformed limit, at most once per target in `malformed_log_interval`; may be
+    /// Called for a malformed limit, at most once per target in `log_interval`; may be
     /// empty.
     std::function<void(const std::string& service, const std::string& target, const std::string&)>
         on_malformed{};
+    /// Called for a received limit that there is no room for, at most once in `log_interval`; may
+    /// be empty.
+    std::function<void(const target_limit&)> on_dropped{};
 };
 
 /// State of one limited target, for the dump and the log.
@@ -71,15 +73,12 @@
 {
 public:
     explicit target_rate_limiter(target_rate_limiter_options options);
-    ~target_rate_limiter();
-    target_rate_limiter(const target_rate_limiter&) = delete;
-    target_rate_limiter& operator=(const target_rate_limiter&) = delete;
 
     /// Applies a table revision.
     void apply(std::shared_ptr<const table_snapshot> table);
 
     /// Records a request of a caller for the service.
-    void record_request(const std::string& service);
+    void record_request(const std::string& service) { demand_.record_request(service); }
 
     /// True if some target of the service is limited.
     [[nodiscard]] bool has_limits(const std::string& service) const;
@@ -111,7 +110,7 @@
     bool merge_limit(const target_limit& received);
 
     /// Records demand reports that another instance sent, and passes on those that are new.
-    void merge_demand(const std::vector<demand_report>& reports);
+    void merge_demand(const std::vector<demand_report>& reports) { demand_.merge(reports); }
 
     /// Tells the other instances that this one will send no more requests.
     void leave();
@@ -120,7 +119,7 @@
     [[nodiscard]] std::vector<target_limit> limits() const { return limits_.all(); }
 
     /// Demand reports to be sent to an instance that starts.
-    [[nodiscard]] std::vector<demand_report> demand_reports() const;
+    [[nodiscard]] std::vector<demand_report> demand_reports() const { return demand_.reports(); }
 
     /// Limited targets of the service; of all services if the name is empty.
     [[nodiscard]] std::vector<target_limit_dump> dump(const std::string& service = {});
@@ -132,13 +131,13 @@
     [[nodiscard]] std::uint64_t malformed() const { return malformed_; }
 
     /// Demand reports that are known.
-    [[nodiscard]] std::size_t known_reports() const { return directory_.size(); }
+    [[nodiscard]] std::size_t known_reports() const { return demand_.known_reports(); }
 
-    static constexpr duration malformed_log_interval = std::chrono::seconds(10);
+    static constexpr duration log_interval = std::chrono::seconds(10);
 
 private:
     /// A limited target of the table.
-    struct limited
+    struct enforced_limit
     {
         std::string service;
         std::uint64_t incarnation = 0;
@@ -151,54 +150,32 @@
         token_bucket bucket;
         bool takes_work = true;
     };
-    /// What this instance reports about its demand for one service.
-    struct own_demand
-    {
-        demand_meter meter;
-        /// Last reported demand; negative before the first report.
-        double reported = -1;
-        time_point reported_at{};
-        /// Time of the first report since the service has limited targets.
-        time_point first_reported_at{};
-        /// Demand that the share is computed from, and the one that follows it once the other
-        /// instances know it.
-        double effective = 0;
-        double next_effective = 0;
-        time_point next_effective_at{};
-        /// Until then all tokens are promised to callers that were refused.
-        time_point promised_until{};
-    };
-    using limited_targets_of_service = std::map<std::string, limited>;
+    using enforced_limits_of_service = std::map<std::string, enforced_limit>;
 
     /// Brings the entry of a target of the table up to date with the target's limit.
     void update_limited(const std::string& service, const target_row& target);
-    limited& add_limited(const std::string& service, const target_row& target);
+    enforced_limit& add_limited(const std::string& service, const target_row& target);
     void remove_limited(const std::string& service, const std::string& target);
     void rebuild();
-    limited* find(const std::string& service, const target_row& target);
-    void update_share(limited& target);
-    [[nodiscard]] limit_share compute_share(const limited& target);
+    /// Service and name of each limited target.
+    [[nodiscard]] std::vector<std::pair<std::string, std::string>> limited_names() const;
+    enforced_limit* find(const std::string& service, const target_row& target);
+    void update_share(enforced_limit& target);
+    [[nodiscard]] limit_share compute_share(const enforced_limit& target);
     [[nodiscard]] std::size_t instances() const;
-    void start_ticking();
-    void tick();
-    void report_demand(const std::string& service, own_demand& demand, bool leaving);
-    void update_effective_demand(own_demand& demand);
 
     target_rate_limiter_options options_;
     std::shared_ptr<const table_snapshot> table_ = std::make_shared<const table_snapshot>();
     target_limit_registry limits_;
-    demand_directory directory_;
+    demand_exchange demand_;
     /// Limited targets of the table, by service and target.
-    std::map<std::string, limited_targets_of_service> limited_;
-    std::map<std::string, own_demand> demands_;
-    /// Reports to be sent to the neighbours at the next tick.
-    std::vector<demand_report> outgoing_;
+    std::map<std::string, enforced_limits_of_service> limited_;
+    /// Until then all tokens are promised to callers that were refused, by service.
+    std::map<std::string, time_point> promised_until_;
     std::map<std::pair<std::string, std::string>, time_point> malformed_logged_at_;
     std::uint64_t malformed_ = 0;
-    std::uint32_t sequence_ = 0;
-    time_point expired_removed_at_{};
+    time_point dropped_logged_at_ = time_point(duration::min() / 2);
     bool leaving_ = false;
-    timer_id tick_timer_ = 0;
 };
 
 } // namespace catkintally::core
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -39,9 +39,6 @@
 /// How long requests without an objective keep probing.
 constexpr duration default_probing_time = milliseconds(100);
 
-/// Shortest wait for a token of a rate limit.
-constexpr duration min_token_wait = milliseconds(1);
-
 /// If no target has answered any probe, the last round is extended by this many probe timeouts
 /// before the request is refused.
 constexpr int final_wait_factor = 10;
@@ -232,43 +229,6 @@
     }
 }
 
-void probing_gateway::wait_for_token(request_id id)
-{
-    pending_admission& admission = pending_admissions_.at(id);
-    const std::string& service = admission.request.service;
-    const auto now = options_.timers->now();
-    const auto wait = options_.limiter->time_to_token(service);
-    const auto waiting = token_waiters_.find(service);
-    const std::size_t waiters = waiting == token_waiters_.end() ? 0 : waiting->second;
-    const bool served_in_time =
-        wait && now + *wait < admission.probe_until &&
-        waiters < options_.limiter->tokens_within(service, admission.probe_until - now);
-    if (!served_in_time)
-    {
-        finish(
-            id, decision_code::refused_target_limit, nullptr,
-            options_.limiter->retry_after(service));
-        return;
-    }
-    ++token_waiters_[service];
-    admission.awaits_token = true;
-    admission.round = 0;
-    admission.timer = options_.timers->schedule_after(
-        std::max(*wait, min_token_wait), [this, id] { start_probe_round(id); });
-}
-
-void probing_gateway::stop_waiting_for_token(pending_admission& admission)
-{
-    if (std::exchange(admission.awaits_token, false))
-    {
-        const auto waiters = token_waiters_.find(admission.request.service);
-        if (--waiters->second == 0)
-        {
-            token_waiters_.erase(waiters);
-        }
-    }
-}
-
 void probing_gateway::update_target_state(const target_key& key, const probe_report& report)
 {
     const auto known = targets_.find(key);
--- a/packages/core/src/admission/probing_gateway_targets.cpp
+++ b/packages/core/src/admission/probing_gateway_targets.cpp
@@ -141,50 +141,6 @@
                                     is_assigned_to_cold_target(config, target));
 }
 
-bool probing_gateway::within_rate_limit(
-    const service_config& config, const target_row& target) const
-{
-    return options_.limiter == nullptr || options_.limiter->may_send(config.service.name, target);
-}
-
-bool probing_gateway::is_blocked_by_limit(const pending_admission& admission) const
-{
-    const service_config* config = service(admission.request.service);
-    return config != nullptr &&
-           std::any_of(
-               admission.probes.begin(), admission.probes.end(),
-               [&](const probe_attempt& each)
-               {
-                   const target_row* target = find_row({admission.request.service, each.name});
-                   return target != nullptr && each.result.report.healthy &&
-                          takes_new_work(*target, *table_) && !within_rate_limit(*config, *target);
-               });
-}
-
-void probing_gateway::refund_token(const target_key& key)
-{
-    const target_row* target = find_row(key);
-    if (options_.limiter != nullptr && target != nullptr)
-    {
-        options_.limiter->refund(key.first, *target);
-    }
-}
-
-void probing_gateway::observe_limit(
-    const target_key& key,
-    const std::optional<limit_statement>& statement,
-    time_point sent_at,
-    bool executed)
-{
-    const target_row* target = find_row(key);
-    if (options_.limiter != nullptr && target != nullptr && statement)
-    {
-        options_.limiter->observe(
-            key.first, *target,
-            {.statement = *statement, .sent_at = sent_at, .executed = executed});
-    }
-}
-
 bool probing_gateway::has_available_target(const std::string& name) const
 {
     const service_config* config = service(name);
--- a/packages/core/src/limits/target_limit_registry.cpp
+++ b/packages/core/src/limits/target_limit_registry.cpp
@@ -91,8 +91,8 @@
 {
     const key name(received.service, received.target, received.incarnation);
     const auto found = limits_.find(name);
-    if (found == limits_.end() ? limits_.size() >= max_limits
-                               : !replaces(received, found->second.limit))
+    if (is_full_for(received) ||
+        (found != limits_.end() && !replaces(received, found->second.limit)))
     {
         return false;
     }
@@ -100,6 +100,12 @@
     return true;
 }
 
+bool target_limit_registry::is_full_for(const target_limit& received) const
+{
+    return limits_.size() >= max_limits &&
+           !limits_.contains(key(received.service, received.target, received.incarnation));
+}
+
 const known_limit*
 target_limit_registry::find(const std::string& service, const target_row& target) const
 {
--- a/packages/core/src/limits/target_rate_limiter.cpp
+++ b/packages/core/src/limits/target_rate_limiter.cpp
@@ -18,24 +18,11 @@
 /// raises or withdraws it. One request in ten seconds is far within the tolerance of any limit.
 constexpr double min_limit = 0.1;
 
-/// Interval at which demand reports are sent. Reports that arrive in between go on together.
-constexpr duration tick_interval = milliseconds(100);
-
-/// Interval at which expired demand reports are removed.
-constexpr duration expiry_interval = seconds(1);
-
-/// A changed demand is reported at most once in this time.
-constexpr duration min_report_interval = seconds(1);
-
-/// Delay before an own share grows after the report that justifies it. The other instances reduce
-/// their shares when they receive the report, which takes less than this unless news are very late.
-constexpr duration settle_time = seconds(4);
-
 /// Shares are computed anew after this time, or when a limit changes.
 constexpr duration share_lifetime = seconds(1);
 
-/// Estimated number of instances for each one that is certain to exist. The estimate is within a
-/// fifth of the true number.
+/// Estimated number of instances for each one that is certain to exist. The standard error of the
+/// estimate is 6 %.
 constexpr double estimate_tolerance = 1.1;
 
 /// Largest part of a token, less than a whole one.
@@ -45,27 +32,18 @@
 constexpr duration min_retry_after = milliseconds(200);
 constexpr duration max_retry_after = seconds(10);
 
-/// True if a demand differs so much from the reported one that it is reported anew. Small demands
-/// fluctuate by more than the factor, hence the second term.
-bool differs(double demand, double reported)
-{
-    constexpr double factor = 2;
-    constexpr double tolerance = 0.25;
-    return demand > factor * reported + tolerance || reported > factor * demand + tolerance;
-}
-
 } // namespace
 
 target_rate_limiter::target_rate_limiter(target_rate_limiter_options options)
     : options_(std::move(options))
     , limits_(options_.self)
+    , demand_(
+          {.timers = options_.timers,
+           .self = options_.self,
+           .incarnation = options_.incarnation,
+           .failure_domain = options_.failure_domain,
+           .send = options_.send_demand})
 {
-    assert(options_.timers != nullptr);
-}
-
-target_rate_limiter::~target_rate_limiter()
-{
-    options_.timers->cancel(tick_timer_);
 }
 
 void target_rate_limiter::apply(std::shared_ptr<const table_snapshot> table)
@@ -73,8 +51,10 @@
     table_ = std::move(table);
     limits_.retain(*table_, options_.timers->now());
     rebuild();
+    demand_.retain(*table_);
     std::erase_if(
-        demands_, [this](const auto& each) { return !table_->services.contains(each.first); });
+        promised_until_,
+        [this](const auto& each) { return !table_->services.contains(each.first); });
     std::erase_if(
         malformed_logged_at_, [this](const auto& each)
         { return find_target(*table_, each.first.first, each.first.second) == nullptr; });
@@ -82,17 +62,16 @@
 
 void target_rate_limiter::rebuild()
 {
-    if (limits_.size() == 0)
+    for (const auto& [service, target] : limited_names())
     {
-        limited_.clear();
-        return;
+        if (find_target(*table_, service, target) == nullptr)
+        {
+            remove_limited(service, target);
+        }
     }
-    for (auto service = limited_.begin(); service != limited_.end();)
+    if (limits_.size() == 0)
     {
-        std::erase_if(
-            service->second, [&](const auto& each)
-            { return find_target(*table_, service->first, each.first) == nullptr; });
-        service = service->second.empty() ? limited_.erase(service) : std::next(service);
+        return;
     }
     for (const auto& [name, config] : table_->services)
     {
@@ -103,10 +82,23 @@
     }
 }
 
+std::vector<std::pair<std::string, std::string>> target_rate_limiter::limited_names() const
+{
+    std::vector<std::pair<std::string, std::string>> names;
+    for (const auto& [service, targets] : limited_)
+    {
+        for (const auto& [target, each] : targets)
+        {
+            names.emplace_back(service, target);
+        }
+    }
+    return names;
+}
+
 void target_rate_limiter::update_limited(const std::string& service, const target_row& target)
 {
     const known_limit* known = limits_.find(service, target);
-    limited* current = find(service, target);
+    enforced_limit* current = find(service, target);
     std::optional<double> previous;
     if (current != nullptr && current->incarnation == target.incarnation)
     {
@@ -131,7 +123,7 @@
             current->share_computed_at = {};
             update_share(*current);
         }
-        start_ticking();
+        demand_.start_reporting(service);
     }
     if (known != nullptr && known->limit.per_second != previous && options_.on_changed)
     {
@@ -139,14 +131,14 @@
     }
 }
 
-target_rate_limiter::limited&
+target_rate_limiter::enforced_limit&
 target_rate_limiter::add_limited(const std::string& service, const target_row& target)
 {
     // Instances learn of a limit at the same moment. Their buckets start at different levels, so
     // that they do not send their first requests together.
     const std::uint64_t bits = split_mix(name_hash(options_.self + '/' + target.name)).next();
     const double tokens = static_cast<double>(bits >> 11U) * 0x1.0p-53;
-    limited added{
+    enforced_limit added{
         .service = service,
         .incarnation = target.incarnation,
         .inputs =
@@ -165,11 +157,12 @@
         if (targets->second.empty())
         {
             limited_.erase(targets);
+            demand_.stop_reporting(service);
         }
     }
 }
 
-target_rate_limiter::limited*
+target_rate_limiter::enforced_limit*
 target_rate_limiter::find(const std::string& service, const target_row& target)
 {
     const auto targets = limited_.find(service);
@@ -186,34 +179,30 @@
     return options_.instances ? options_.instances() : 1;
 }
 
-limit_share target_rate_limiter::compute_share(const limited& target)
+limit_share target_rate_limiter::compute_share(const enforced_limit& target)
 {
-    own_demand& demand = demands_[target.service];
-    update_effective_demand(demand);
-    const auto now = options_.timers->now();
-    const auto& others = directory_.demands(name_hash(target.service));
-    const auto expected =
-        static_cast<std::size_t>(static_cast<double>(instances()) / estimate_tolerance);
-    const bool settled = demand.reported >= 0 && now - demand.first_reported_at >= settle_time;
-    if (!settled)
+    if (leaving_)
+    {
+        return {};
+    }
+    const auto& demands = demand_.demands(target.service);
+    const auto self = demand_.settled_demand(target.service);
+    if (!self)
     {
         // The demands are not known yet: an equal part for each instance.
-        const auto count =
-            static_cast<double>(std::max({instances(), others.size(), std::size_t{1}}));
+        const std::size_t count = std::max({instances(), demands.size(), std::size_t{1}});
         return {
-            .per_second = target.inputs.per_second / count,
+            .per_second = target.inputs.per_second / static_cast<double>(count),
             .burst = 1,
-            .holders = static_cast<std::size_t>(count)};
+            .holders = count};
     }
-    const instance_demand self{
-        .instance = name_hash(options_.self),
-        .failure_domain = name_hash(options_.failure_domain),
-        .per_second = demand.effective};
-    const std::size_t known = std::max<std::size_t>(others.size(), 1);
-    return divide_limit(target.inputs, self, others, expected > known ? expected - known : 0);
+    const auto certain =
+        static_cast<std::size_t>(static_cast<double>(instances()) / estimate_tolerance);
+    const std::size_t known = std::max<std::size_t>(demands.size(), 1);
+    return divide_limit(target.inputs, *self, demands, certain > known ? certain - known : 0);
 }
 
-void target_rate_limiter::update_share(limited& target)
+void target_rate_limiter::update_share(enforced_limit& target)
 {
     const auto now = options_.timers->now();
     const bool computed = target.share_computed_at != time_point{};
@@ -222,17 +211,12 @@
         return;
     }
     target.share_computed_at = now;
-    target.share = leaving_ ? limit_share{} : compute_share(target);
+    target.share = compute_share(target);
     // Without a share the fraction of a token is kept for the time when there is one again.
     target.bucket.configure(
         target.share.per_second, std::max(target.share.burst, largest_fraction), now);
 }
 
-void target_rate_limiter::record_request(const std::string& service)
-{
-    demands_[service].meter.record(options_.timers->now());
-}
-
 bool target_rate_limiter::has_limits(const std::string& service) const
 {
     return limited_.contains(service);
@@ -240,7 +224,7 @@
 
 bool target_rate_limiter::may_send(const std::string& service, const target_row& target)
 {
-    limited* found = find(service, target);
+    enforced_limit* found = find(service, target);
     if (found == nullptr)
     {
         return true;
@@ -251,7 +235,7 @@
 
 void target_rate_limiter::take(const std::string& service, const target_row& target)
 {
-    if (limited* found = find(service, target))
+    if (enforced_limit* found = find(service, target))
     {
         found->bucket.take(options_.timers->now());
     }
@@ -259,7 +243,7 @@
 
 void target_rate_limiter::refund(const std::string& service, const target_row& target)
 {
-    if (limited* found = find(service, target))
+    if (enforced_limit* found = find(service, target))
     {
         found->bucket.refund(options_.timers->now());
     }
@@ -327,14 +311,13 @@
     // A caller that returns may reach any instance.
     const double rate =
         std::max(own_rate, fleet_rate / static_cast<double>(std::max<std::size_t>(instances(), 1)));
+    const std::chrono::duration<double> longest = max_retry_after;
+    const std::chrono::duration<double> interval(rate > 0 ? 1 / rate : longest.count());
     const auto now = options_.timers->now();
-    own_demand& demand = demands_[service];
-    const auto interval = rate > 0 ? std::chrono::duration<double>(1 / rate)
-                                   : std::chrono::duration<double>(max_retry_after);
-    const time_point slot = std::max(demand.promised_until, now) +
-                            std::chrono::ceil<duration>(
-                                std::min(interval, std::chrono::duration<double>(max_retry_after)));
-    demand.promised_until = std::min(slot, now + max_retry_after);
+    time_point& promised_until = promised_until_[service];
+    const time_point slot =
+        std::max(promised_until, now) + std::chrono::ceil<duration>(std::min(interval, longest));
+    promised_until = std::min(slot, now + max_retry_after);
     return std::clamp(slot - now, min_retry_after, max_retry_after);
 }
 
@@ -348,7 +331,7 @@
         auto& logged_at = malformed_logged_at_
                               .try_emplace({service, target.name}, time_point(duration::min() / 2))
                               .first->second;
-        if (options_.on_malformed && now - logged_at >= malformed_log_interval)
+        if (options_.on_malformed && now - logged_at >= log_interval)
         {
             logged_at = now;
             options_.on_malformed(service, target.name, observed.statement.text);
@@ -367,123 +350,26 @@
 }
 
 bool target_rate_limiter::merge_limit(const target_limit& received)
-{
-    if (!limits_.merge(received, options_.timers->now()))
-    {
-        return false;
-    }
-    if (const target_row* target = find_target(*table_, received.service, received.target))
-    {
-        update_limited(received.service, *target);
-    }
-    return true;
-}
-
-void target_rate_limiter::merge_demand(const std::vector<demand_report>& reports)
 {
     const auto now = options_.timers->now();
-    const std::uint64_t self = name_hash(options_.self);
-    for (const demand_report& each : reports)
+    if (limits_.is_full_for(received))
     {
-        if (each.instance != self && directory_.merge(each, now))
+        if (options_.on_dropped && now - dropped_logged_at_ >= log_interval)
         {
-            outgoing_.push_back(each);
-        }
-    }
-    if (!outgoing_.empty())
-    {
-        start_ticking();
-    }
-}
-
-void target_rate_limiter::update_effective_demand(own_demand& demand)
-{
-    if (options_.timers->now() >= demand.next_effective_at)
-    {
-        demand.effective = demand.next_effective;
-    }
-}
-
-void target_rate_limiter::report_demand(
-    const std::string& service, own_demand& demand, bool leaving)
-{
-    const auto now = options_.timers->now();
-    const double measured = demand.meter.per_second(now);
-    update_effective_demand(demand);
-    if (demand.reported < 0)
-    {
-        demand.first_reported_at = now;
-    }
-    // A renewed report repeats the last one: random changes of the demand would only move the
-    // shares about.
-    if (demand.reported < 0 || differs(measured, demand.reported))
-    {
-        demand.reported = measured;
-        // A smaller share is used at once, a larger one when the other instances know of it.
-        demand.effective = std::min(demand.effective, measured);
-        demand.next_effective = measured;
-        demand.next_effective_at = now + settle_time;
-    }
-    demand.reported_at = now;
-    const demand_report report{
-        .instance = name_hash(options_.self),
-        .incarnation = options_.incarnation,
-        .service = name_hash(service),
-        .failure_domain = name_hash(options_.failure_domain),
-        .sequence = ++sequence_,
-        .per_second = leaving ? -1 : demand.reported};
-    directory_.merge(report, now);
-    outgoing_.push_back(report);
-}
-
-void target_rate_limiter::start_ticking()
-{
-    if (tick_timer_ == 0)
-    {
-        tick_timer_ = options_.timers->schedule_after(tick_interval, [this] { tick(); });
-    }
-}
-
-void target_rate_limiter::tick()
-{
-    tick_timer_ = 0;
-    const auto now = options_.timers->now();
-    if (now - expired_removed_at_ >= expiry_interval)
-    {
-        expired_removed_at_ = now;
-        directory_.remove_expired(now);
-    }
-    for (auto& [service, demand] : demands_)
-    {
-        if (!limited_.contains(service))
-        {
-            demand.reported = -1;
-        }
-    }
-    if (!leaving_)
-    {
-        for (const auto& [service, targets] : limited_)
-        {
-            own_demand& demand = demands_[service];
-            const auto passed = now - demand.reported_at;
-            const bool due = demand.reported < 0 || passed >= demand_directory::renewal_interval ||
-                             (passed >= min_report_interval &&
-                              differs(demand.meter.per_second(now), demand.reported));
-            if (due)
-            {
-                report_demand(service, demand, false);
-            }
+            dropped_logged_at_ = now;
+            options_.on_dropped(received);
         }
+        return false;
     }
-    const auto reports = std::exchange(outgoing_, {});
-    if (!reports.empty() && options_.send_demand)
+    if (!limits_.merge(received, now))
     {
-        options_.send_demand(reports);
+        return false;
     }
-    if (!limited_.empty() || directory_.size() > 0)
+    if (const target_row* target = find_target(*table_, received.service, received.target))
     {
-        start_ticking();
+        update_limited(received.service, *target);
     }
+    return true;
 }
 
 void target_rate_limiter::leave()
@@ -491,21 +377,12 @@
     leaving_ = true;
     for (auto& [service, targets] : limited_)
     {
-        report_demand(service, demands_[service], true);
         for (auto& [name, each] : targets)
         {
             each.share_computed_at = {};
         }
     }
-    if (const auto reports = std::exchange(outgoing_, {}); !reports.empty() && options_.send_demand)
-    {
-        options_.send_demand(reports);
-    }
-}
-
-std::vector<demand_report> target_rate_limiter::demand_reports() const
-{
-    return directory_.all(options_.timers->now());
+    demand_.leave();
 }
 
 std::vector<target_limit_dump> target_rate_limiter::dump(const std::string& service)
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -165,6 +165,12 @@
             event_id::target_limit_malformed,
             {{"service", service}, {"target", target}, {"text", text}});
     };
+    options.on_dropped = [](const core::target_limit& limit)
+    {
+        log_event(
+            event_id::target_limit_dropped,
+            {{"service", limit.service}, {"target", limit.target}, {"read_by", limit.source}});
+    };
     return options;
 }
 
