Limits: wait for a cold target beside limited ones, cheaper refusals

A request was refused at once when all warm targets lacked tokens, although a cold one takes a request each second; it now waits as it would without limits. The log line of a refusal no longer searches the table for each limited target, and answers without a limit cost nothing while no limit is known.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -176,6 +176,8 @@
     struct usable_targets
     {
         std::vector<const target_row*> rows;
+        /// Targets that were left out because they are cold.
+        std::size_t cold = 0;
         /// Targets that were left out only because of their rate limits.
         std::size_t limited = 0;
     };
--- a/packages/core/include/catkintally/core/limits/target_rate_limiter.hpp
+++ b/packages/core/include/catkintally/core/limits/target_rate_limiter.hpp
@@ -141,9 +141,8 @@
     {
         std::string service;
         std::uint64_t incarnation = 0;
-        std::uint64_t version = 0;
-        /// Limit as named by the target.
-        double named = 0;
+        /// What was last learned about the limit.
+        known_limit known;
         limited_target inputs;
         limit_share share;
         time_point share_computed_at{};
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -189,7 +189,8 @@
     stop_waiting_for_token(admission);
     const usable_targets usable = candidates(admission);
     const auto chosen = choose_probe_targets(admission, usable);
-    if (chosen.empty() && admission.probes.empty() && usable.limited > 0)
+    const bool only_limited = usable.limited > 0 && usable.cold == 0;
+    if (chosen.empty() && admission.probes.empty() && only_limited)
     {
         wait_for_token(id);
         return;
--- a/packages/core/src/admission/probing_gateway_targets.cpp
+++ b/packages/core/src/admission/probing_gateway_targets.cpp
@@ -25,14 +25,14 @@
 probing_gateway::usable_targets
 probing_gateway::candidates(const pending_admission& admission) const
 {
-    std::size_t limited = 0;
+    usable_targets found;
     std::vector<const target_row*> not_ejected;
     std::vector<const target_row*> reachable;
     std::vector<const target_row*> usable;
     const service_config* config = service(admission.request.service);
     if (config == nullptr)
     {
-        return {};
+        return found;
     }
     const auto now = options_.timers->now();
     for (const target_row& each : config->targets)
@@ -48,11 +48,12 @@
         }
         if (!within_warmup_limit(*config, each))
         {
+            ++found.cold;
             continue;
         }
         if (!within_rate_limit(*config, each))
         {
-            ++limited;
+            ++found.limited;
             continue;
         }
         usable.push_back(&each);
@@ -68,13 +69,15 @@
     }
     if (not_ejected.size() * 2 >= usable.size())
     {
-        return {.rows = std::move(not_ejected), .limited = limited};
+        found.rows = std::move(not_ejected);
+        return found;
     }
     // If most targets are ejected, the cause is more likely an overload or a network partition of
     // this instance, and the remaining few could not carry the load. Probing unreachable targets
     // would only cost a probe timeout.
     const bool none_reachable = reachable.empty() && admission.probes.empty();
-    return {.rows = std::move(none_reachable ? usable : reachable), .limited = limited};
+    found.rows = std::move(none_reachable ? usable : reachable);
+    return found;
 }
 
 std::vector<const target_row*> probing_gateway::choose_probe_targets(
--- a/packages/core/src/limits/target_limit_registry.cpp
+++ b/packages/core/src/limits/target_limit_registry.cpp
@@ -40,7 +40,7 @@
     const bool named = observed.statement.kind == limit_statement_kind::named;
     const bool withdrawn =
         observed.statement.kind == limit_statement_kind::absent && observed.executed;
-    if (!named && !withdrawn)
+    if (!named && (!withdrawn || limits_.empty()))
     {
         return false;
     }
--- a/packages/core/src/limits/target_rate_limiter.cpp
+++ b/packages/core/src/limits/target_rate_limiter.cpp
@@ -102,7 +102,7 @@
     std::optional<double> previous;
     if (current != nullptr && current->incarnation == target.incarnation)
     {
-        previous = current->named;
+        previous = current->known.limit.per_second;
     }
     if (known == nullptr || !known->limit.per_second)
     {
@@ -114,12 +114,12 @@
         {
             current = &add_limited(service, target);
         }
-        current->named = *known->limit.per_second;
-        current->inputs.per_second = std::max(current->named, min_limit);
+        const bool changed = current->known.limit.version != known->limit.version;
+        current->known = *known;
+        current->inputs.per_second = std::max(*known->limit.per_second, min_limit);
         current->takes_work = takes_new_work(target, *table_);
-        if (current->version != known->limit.version)
+        if (changed)
         {
-            current->version = known->limit.version;
             current->share_computed_at = {};
             update_share(*current);
         }
@@ -141,6 +141,7 @@
     enforced_limit added{
         .service = service,
         .incarnation = target.incarnation,
+        .known = {},
         .inputs =
             {.name = name_hash(target.name), .failure_domain = name_hash(target.failure_domain)},
         .share = {},
@@ -398,18 +399,12 @@
         for (auto& [name, each] : targets)
         {
             update_share(each);
-            const target_row* row = find_target(*table_, service_name, name);
-            const known_limit* known = row == nullptr ? nullptr : limits_.find(service_name, *row);
-            if (known == nullptr || !known->limit.per_second)
-            {
-                continue;
-            }
             dumped.push_back(
                 {.service = service_name,
                  .target = name,
-                 .per_second = *known->limit.per_second,
-                 .source = known->limit.source,
-                 .known_for = now - known->since,
+                 .per_second = each.known.limit.per_second.value_or(0),
+                 .source = each.known.limit.source,
+                 .known_for = now - each.known.since,
                  .share = each.share,
                  .tokens = each.bucket.tokens(now)});
         }
