--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -9,6 +9,8 @@
 
 # Limits that targets name, in requests a second.
 LIMITS = (0.5, 1.0, 1.1, 1.5, 3.0, 8.0, 40.0, 300.0)
+# At most one target in so many of a service is limited at a time.
+LIMITED_PART = 3
 
 
 async def instance_killed(world, pick):
@@ -130,7 +132,10 @@
 async def target_names_limits(world, pick):
     """Names a limit, changes it a few times, withdraws it and perhaps names it again."""
     target = pick.choice(world.targets)
-    if target.limit is not None:
+    same_service = [each for each in world.targets if each.service == target.service]
+    limited = sum(each.limit is not None for each in same_service)
+    # Seed 4000: with most targets limited, the others evacuated or crashed, nobody can serve.
+    if target.limit is not None or limited >= len(same_service) // LIMITED_PART:
         return
     incarnation = target.incarnation
     limits = [pick.choice(LIMITS) for _ in range(pick.randint(1, 3))]
