--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -126,7 +126,7 @@
     def ran(self, target, request, method, path, body):
         known = self.requests.get(request)
         if known is None:
-            self.broken("unasked", f"{target.name} ran {request}, which nobody sent")
+            self.broken("unasked", f"{target.name} ran {request!r} ({method} {path}), which nobody sent")
             return
         known.runs += 1
         if (method, path, body) != (known.method, known.path, known.body):
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -221,7 +221,9 @@
         await self.close()
 
     async def close(self):
-        """Closes all connections and waits for the tasks that serve them."""
+        """Ends the instances, closes all connections and waits for the tasks that serve them."""
+        # Instances that outlive their proxies send to ports that another seed may use by then.
+        self.stop()
         for target in self.targets:
             target.crash()
             target.proxy.stop()
