--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -120,7 +120,8 @@
             self.world.log(f"{self.run_name} stopped while it was loaded")
         elif self.process.returncode != 0:
             self.world.checks.broken(
-                "exit", f"{self.run_name} ended with {self.process.returncode} after SIGTERM")
+                "exit", f"{self.run_name} ended with {self.process.returncode} after SIGTERM, "
+                        f"{stopped_at - self.started_at:.2f} s after its start")
 
     def check_alive(self):
         if not self.ended and self.process.poll() is not None:
