Soak: requests lost around planned work, with callers that stay until the end

The soak counted a request as lost only if a target had got it, its connection ended in a close and nothing at all had been disturbed for 3 s. Not seen before: a caller that runs into its own time limit, a request that was read and not passed on, an answer of the instance's own while the target is at work, the end of a request around SIGHUP or a configuration, and all of this beside faults of the store or of other instances.

LossCheck judges each request at the end of the run as the platform's rule does, and excuses only what the rule excuses. Faults of an instance excuse that instance, those of a target's link the requests at that target.

Planned stops now come in series, several at a time, with reloads just before and in the stop, second SIGTERMs, SIGTERM while the process starts, and targets that drain, end without a farewell or crash, evacuations and configurations beside. Each has callers of its own: pipelining 2 to 32 deep (some only the slowest safe requests of the users' sites, some going on after Connection: close), reading slowly or after the process is gone, sending in parts, waiting for 100 Continue, half-closing, connecting while the listener closes. Their targets work for 60 to 480 ms as a rule, and some for seconds. Each connection's end (FIN, reset, process gone) is logged on both sides.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -5,10 +5,13 @@
 
 from . import http_text
 from .checks import PROMISES, Request
+from .loss_check import End
 from .targets import CRASHING_PATH, body_of
 
 DEADLINE_S = 1.5
 RETRIES = 2
+# Of the routes that these callers use.
+TIMEOUT_S = 1.2
 # Pause between two requests of one caller, as a mean rate.
 REQUESTS_PER_S = 6.0
 # A caller waits for a connection at most this long.
@@ -82,6 +85,8 @@
         request = Request(f"{self.world.seed:04x}{self.number:04x}{self.sent:08x}",
                           self.instance.run_name, method, path, body, safe, service, now)
         request.missed = not path.startswith(CRASHING_PATH)
+        request.caller, request.deadline_s = f"Caller-{self.number}", deadline - now
+        request.timeout_s = TIMEOUT_S
         checks = self.world.checks
         checks.sent(request)
         reader, writer = self.connection
@@ -97,9 +102,12 @@
                 answer = await http_text.read_body(reader, head[1])
         except TimeoutError:
             await self.close()
+            checks.losses.finished(request, End("limit", time.monotonic()))
             return "cut", 0.0
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError) as error:
             await self.close()
+            how = "reset" if isinstance(error, ConnectionResetError) else "fin"
+            checks.losses.finished(request, End(how, time.monotonic()))
             # An idle connection may end just as the request is sent; a run shows it was read.
             if request.request in checks.reached:
                 checks.cut(request, self.instance.stopping)
@@ -109,6 +117,7 @@
         expected = [body_of(name, path, body) for name in service.split("|")]
         signature = fields.get("x-catkintally-upstream-signature")
         checks.answered(request, status, signature, answer, expected)
+        checks.losses.finished(request, End("answer", time.monotonic(), own=signature is None))
         if status == 503:
             checks.retry_after.append(fields.get("retry-after"))
         if signature is not None and "server-limit" in fields:
@@ -149,8 +158,10 @@
             pass
         finally:
             writer.close()
-        await reading
+        how, ended_at = await reading
         for request in self.open:
+            if how is not None:
+                self.world.checks.losses.finished(request, End(how, ended_at))
             if request.request in self.world.checks.reached:
                 self.world.checks.cut(request, True)
 
@@ -164,14 +175,17 @@
                           self.instance.run_name, method, path, body, safe, service,
                           time.monotonic())
         request.missed = False
+        request.caller, request.behind = f"PipeliningCaller-{self.number}", bool(self.open)
+        request.timeout_s, request.deadline_s = TIMEOUT_S, self.pick.choice((0.3, 1.2, 5.0))
         self.world.checks.sent(request)
         self.open.append(request)
         writer.write(http_text.message(
             f"{method} {path} HTTP/1.1",
             {"Host": "soak.example", "X-Catkintally-Attempt-Id": request.request,
-             "X-Catkintally-Deadline-Ms": str(self.pick.choice((300, 1200, 5000)))}, body))
+             "X-Catkintally-Deadline-Ms": str(int(request.deadline_s * 1000))}, body))
 
     async def read_answers(self, reader):
+        """How the connection ended, and when; None after an answer that closes it."""
         try:
             while head := await http_text.read_head(reader):
                 line, fields = head
@@ -180,8 +194,13 @@
                 self.world.checks.answered(
                     request, int(line.split()[1]), fields.get("x-catkintally-upstream-signature"),
                     body, [body_of(request.service, request.path, request.body)])
+                own = "x-catkintally-upstream-signature" not in fields
+                self.world.checks.losses.finished(
+                    request, End("answer", time.monotonic(), own=own))
                 if fields.get("connection", "").lower() == "close":
-                    return
-        except (OSError, asyncio.IncompleteReadError):
+                    return None, None
+            return "fin", time.monotonic()
+        except (OSError, asyncio.IncompleteReadError) as error:
             # Whatever is still open has no answer.
-            return
+            how = "reset" if isinstance(error, ConnectionResetError) else "fin"
+            return how, time.monotonic()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -2,6 +2,8 @@
 import collections
 
 from .limit_check import LimitCheck
+from .loss_check import LossCheck
+from .work import TIMED_SERVICES
 
 PROMISES = (408, 421, 429, 503)
 # Bounds of the platform's pages; the soak passes the same ones to the instances.
@@ -9,6 +11,8 @@
 EVACUATION_S = 5.0
 CONFIGURATION_S = 2.0
 CONTACT_S = 3.0
+# After SIGTERM the platform waits this long before it kills.
+GRACE_S = 6.0
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 RETRY_SLACK = 56
@@ -40,6 +44,14 @@
         self.runs = 0
         self.promised = False
         self.status = None
+        # For the check of lost requests: the time that it has, when its last byte was sent, and its end.
+        self.caller = ""
+        self.deadline_s = float("inf")
+        self.timeout_s = float("inf")
+        self.last_byte_at = sent_at
+        # Sent behind another request of its connection that had no answer yet, or after the announced end.
+        self.behind = False
+        self.end = None
 
 
 class Checks:
@@ -60,6 +72,9 @@
         self.reached = set()
         self.cold_arrivals = collections.defaultdict(collections.deque)
         self.limits = LimitCheck()
+        self.losses = LossCheck(GRACE_S)
+        # By run of an instance: when its process was started.
+        self.starts = {}
         # When an instance first passed on an answer that says that its target leaves, by both names.
         self.left = {}
         # Pauses that a target has asked an instance for, as (from, to), by both names.
@@ -143,11 +158,13 @@
                 self.broken("leaving", f"{request} was sent {known.sent_at - since:.1f} s after "
                                        f"{known.instance} passed on that {target.name} leaves")
         since = self.drained.get(target.name)
-        if since is not None and self.in_force(since, now, DRAIN_S):
+        if since is not None and self.in_force(since, now, DRAIN_S) and \
+                self.is_in_touch(target, request, now):
             self.broken("drain", f"{request} reached {target.name} {now - since:.1f} s after it "
                                  "drained")
         since = self.evacuated.get(target.domain)
-        if since is not None and self.in_force(since, now, EVACUATION_S):
+        if since is not None and self.in_force(since, now, EVACUATION_S) and \
+                self.is_in_touch(target, request, now):
             self.broken("evacuation", f"{request} reached {target.domain} {now - since:.1f} s "
                                       "after it was taken out")
         if self.cold(target, now):
@@ -182,6 +199,14 @@
         """The bound has passed, and the instances were in touch all the while."""
         return now - since > bound and since - self.settled_since() >= CONTACT_S
 
+    def is_in_touch(self, target, request, now):
+        """False if the instance that sent a request of a caller around planned stops was started or
+        got SIGTERM in the last CONTACT_S: seed 42 of the planned stops, started 2.5 s before."""
+        known = self.requests.get(request)
+        return target.service not in TIMED_SERVICES or known is None or all(
+            now - at > CONTACT_S for at in (self.losses.stops.get(known.instance, -CONTACT_S),
+                                            self.starts.get(known.instance, -CONTACT_S)))
+
     def crashing(self, path, began):
         """A request that crashes its targets was sent many times since `began`."""
         crashes = sum(each.runs for each in self.requests.values() if each.path == path)
@@ -198,6 +223,8 @@
             self.check_retries(service, arrivals, firsts)
         for detail in self.limits.broken():
             self.broken("limit", detail)
+        for rule, detail in self.losses.broken():
+            self.broken(rule, detail)
         calm = [each for each in self.requests.values() if each.sent_at >= calm_from and each.missed]
         served = sum(each.status is not None and 200 <= each.status < 300 for each in calm)
         if served < SERVED_SHARE * len(calm):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -1,5 +1,6 @@
 """The faults of a soak. Each is a coroutine that disturbs the world and puts it right again."""
 import asyncio
+import contextlib
 import signal
 import time
 
@@ -16,30 +17,34 @@
 async def instance_killed(world, pick):
     instance = pick.choice(world.instances)
     async with world.holding(instance):
-        instance.kill()
-        await asyncio.sleep(pick.uniform(0.1, 1.5))
-        instance.start()
+        with world.checks.losses.disturbing(instance.name):
+            instance.kill()
+            await asyncio.sleep(pick.uniform(0.1, 1.5))
+            instance.start()
 
 
 async def herd_killed(world, pick):
     herd = pick.sample(world.instances, len(world.instances) - pick.randint(0, 1))
-    for instance in herd:
-        async with world.holding(instance):
-            instance.kill()
-    await asyncio.sleep(pick.uniform(0.1, 1.0))
-    for instance in herd:
-        async with world.holding(instance):
-            if instance.ended:
-                instance.start()
+    with contextlib.ExitStack() as disturbing:
+        for instance in herd:
+            async with world.holding(instance):
+                disturbing.enter_context(world.checks.losses.disturbing(instance.name))
+                instance.kill()
+        await asyncio.sleep(pick.uniform(0.1, 1.0))
+        for instance in herd:
+            async with world.holding(instance):
+                if instance.ended:
+                    instance.start()
 
 
 async def instance_paused(world, pick):
     instance = pick.choice(world.instances)
     async with world.holding(instance):
         begin = time.monotonic()
-        instance.signal(signal.SIGSTOP)
-        await asyncio.sleep(pick.uniform(0.2, 4.0))
-        instance.signal(signal.SIGCONT)
+        with world.checks.losses.disturbing(instance.name):
+            instance.signal(signal.SIGSTOP)
+            await asyncio.sleep(pick.uniform(0.2, 4.0))
+            instance.signal(signal.SIGCONT)
         # A process that is paused before main() is still being loaded when it goes on (seed 4000).
         instance.started_at += time.monotonic() - begin
         world.checks.limits.excuse(instance.run_name, begin, time.monotonic())
@@ -57,7 +62,7 @@
     # Seeds 202, 7014 and 7031: before main() nothing can keep the signal from ending the process, and
     # beside other work a process may be loaded for longer than any fixed time.
     if instance.handles(signal.SIGHUP):
-        instance.signal(signal.SIGHUP)
+        instance.hang_up()
 
 
 async def store_link_harmed(world, pick):
@@ -70,7 +75,8 @@
 async def target_link_harmed(world, pick):
     target = pick.choice(world.targets)
     begin = time.monotonic()
-    await harm([target.proxy], pick)
+    with world.checks.losses.disturbing(target.name):
+        await harm([target.proxy], pick)
     # Requests that the link held back arrive together.
     world.checks.limits.excuse(target.name, begin, time.monotonic())
 
@@ -187,10 +193,11 @@
 async def target_goes_dark(world, pick):
     target = pick.choice(world.targets)
     async with world.holding(target):
-        target.proxy.mode = "silent"
-        await asyncio.sleep(pick.uniform(0.5, 3.0))
-        target.proxy.mode = "ok"
-        target.proxy.reset_open()
+        with world.checks.losses.disturbing(target.name):
+            target.proxy.mode = "silent"
+            await asyncio.sleep(pick.uniform(0.5, 3.0))
+            target.proxy.mode = "ok"
+            target.proxy.reset_open()
 
 
 async def target_misbehaves(world, pick):
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -10,13 +10,11 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 BIN = Path(os.environ.get("CATKINTALLY_BUILD_DIR", ROOT / "build")).resolve() / "bin"
-# After SIGTERM the platform waits this long before it kills.
-GRACE_S = 6.0
 # A process that is signalled this soon may not have reached main().
 LOADING_S = 0.1
 BOUNDS = (f"drain-timeout-ms={int(checks.DRAIN_S * 1000)},retry-budget-ratio={checks.RETRY_RATIO},"
           f"retry-window-s={int(checks.RETRY_WINDOW_S)},budget-slack={checks.RETRY_SLACK},"
-          f"grace-s={GRACE_S:g}")
+          f"grace-s={checks.GRACE_S:g}")
 
 
 def spawn(log_path, *command):
@@ -39,6 +37,7 @@
         self.process = None
         self.started_at = 0.0
         self.runs = 0
+        self.reloads = 0
         # A planned stop is under way.
         self.stopping = False
         # The soak itself has ended the process.
@@ -60,7 +59,7 @@
 [targets]
 connections = 8
 connect_time_ms = 300
-idle_time_ms = 9000
+idle_time_ms = {9000 + self.reloads}
 unacknowledged_time_ms = 1500
 [peers]
 address = 127.0.0.1:{self.peer_port}
@@ -82,14 +81,19 @@
 mode = probing
 """
 
+    def write_settings(self):
+        path = self.world.directory / f"{self.name}.ini"
+        path.write_text(self.settings())
+        return path
+
     def start(self):
         if self.world.stopped:
             return
         self.runs += 1
         self.stopping = self.ended = False
-        path = self.world.directory / f"{self.name}.ini"
-        path.write_text(self.settings())
+        path = self.write_settings()
         self.started_at = time.monotonic()
+        self.world.checks.starts[self.run_name] = self.started_at
         self.process = spawn(self.world.directory / f"{self.name}.log", BIN / "catkintally",
                              "--config", path)
 
@@ -109,6 +113,13 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def hang_up(self):
+        """A planned reload, with another value of a setting."""
+        self.reloads += 1
+        self.write_settings()
+        self.world.checks.losses.reloaded(self.run_name, time.monotonic())
+        self.signal(signal.SIGHUP)
+
     def kill(self):
         self.ended = True
         self.signal(signal.SIGCONT)
@@ -121,12 +132,13 @@
             return
         self.stopping = self.ended = True
         stopped_at = time.monotonic()
+        self.world.checks.losses.stopping(self.run_name, stopped_at)
         self.signal(signal.SIGTERM)
-        end = stopped_at + GRACE_S
+        end = stopped_at + checks.GRACE_S
         while self.process.poll() is None and time.monotonic() < end:
             await asyncio.sleep(0.05)
         if self.process.poll() is None:
-            self.world.checks.broken("exit", f"{self.run_name} did not end within {GRACE_S} s")
+            self.world.checks.broken("exit", f"{self.run_name} did not end within {checks.GRACE_S} s")
             self.kill()
         elif self.process.returncode == -signal.SIGTERM and stopped_at - self.started_at < LOADING_S:
             # Seed 100: the signal came before main() could set a handler. Nothing was taken yet.
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -8,8 +8,11 @@
     """Forwards connections to `target_port`. `mode` holds for open and for new connections:
     ok, delay (SECONDS each way), silent, no_requests or no_answers (one way only), refuse."""
 
-    def __init__(self, target_port):
+    def __init__(self, target_port, left=lambda port, how: None):
         self.target_port = target_port
+        # Hears that a connection's opener has ended it, by "fin" or "reset", with the port on the
+        # target's side.
+        self.left = left
         self.mode = "ok"
         self.delay = 0.0
         self.port = 0
@@ -39,7 +42,7 @@
         self.open.add(pair)
         try:
             await asyncio.gather(
-                self.pump(reader, inner_writer, "no_requests"),
+                self.pump_requests(reader, inner_writer),
                 self.pump(inner_reader, writer, "no_answers"))
         except OSError:
             # One side has reset its connection, and so does the proxy on the other one.
@@ -50,6 +53,17 @@
             writer.close()
             inner_writer.close()
 
+    async def pump_requests(self, reader, writer):
+        port = writer.get_extra_info("sockname")[1]
+        try:
+            await self.pump(reader, writer, "no_requests")
+        except OSError:
+            if reader.exception() is not None:
+                self.left(port, "reset")
+            raise
+        if reader.at_eof():
+            self.left(port, "fin")
+
     async def pump(self, reader, writer, cut):
         while data := await reader.read(65536):
             if self.mode == "delay":
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -16,16 +16,18 @@
 
 from tools.fleet import free_base
 
-from . import faults, http_text, instances
-from .callers import Caller
+from . import busy, faults, http_text, instances
+from .callers import TIMEOUT_S, Caller
 from .checks import WARMUP_PER_S, Checks
 from .proxy import Proxy
+from .stops import StopSeries
 from .targets import Target
+from .work import ROUTES
 
 DOMAINS = ("a", "b", "c")
 CALLERS = 24
 BASE_PORT = 13000
-PORTS_PER_JOB = 100
+PORTS_PER_JOB = 200
 # To the next choice, if another soak uses the first one.
 PORT_STEP = 1000
 # Phases: start, faults, planned work on a calm system, end. In seconds.
@@ -39,6 +41,10 @@
 LIMIT_PAUSE_S = 1.5
 # Mean time between drills of the store, faulty targets and requests late in a planned stop.
 INCIDENT_PAUSE_S = 2.0
+# Mean time between groups of planned stops with callers of their own, at 5 instances.
+STOP_PAUSE_S = 1.5
+# Longer ticks of this process make its callers' time limits uncertain.
+LAG_S = 0.2
 # After the last fault, before promises of a calm system are judged.
 SETTLE_S = 5.0
 
@@ -46,7 +52,7 @@
 class World:
     """One seed: everything that runs, and how it is disturbed."""
 
-    def __init__(self, seed, slot, directory):
+    def __init__(self, seed, slot, directory, count=5):
         self.seed = seed
         self.random = random.Random(seed)
         self.directory = directory
@@ -54,10 +60,16 @@
         base = free_base(PORTS_PER_JOB, BASE_PORT + slot * PORTS_PER_JOB, PORT_STEP)
         self.store_port = base
         self.instances = [
-            instances.Instance(self, number, base + 10, DOMAINS[number % 3]) for number in range(5)]
+            instances.Instance(self, number, base + 10, DOMAINS[number % 3])
+            for number in range(count)]
         self.targets = [
             Target(self, number, "lookup" if number < 9 else "order", DOMAINS[number % 3])
             for number in range(15)]
+        # Targets of the callers around planned stops.
+        self.timed_targets = [
+            Target(self, 100 + number, "records" if number < 12 else "deposits",
+                   DOMAINS[number % 3], slots=3, queue=12)
+            for number in range(18)]
         self.settled_since = time.monotonic()
         self.disturbances = 0
         self.checks = Checks(
@@ -73,6 +85,10 @@
         # The faults are over; most requests must be served from now on.
         self.recovering = False
 
+    @property
+    def all_targets(self):
+        return self.targets + self.timed_targets
+
     def chance(self, share):
         return share > 0 and self.random.random() < share
 
@@ -117,25 +133,31 @@
         """Writes a configuration with one more route; known to callers once it is accepted."""
         version = self.version + 1
 
-        def rule(name, prefix, kind, service, objective):
+        def rule(name, prefix, kind, service, objective, timeout_s=TIMEOUT_S):
             return {"name": name, "route-type": kind, "target-latency-ms": objective,
                     "priority": 1, "match": {"path-prefix": prefix},
-                    "action": {"service": service, "timeout-ms": 1200, "max-attempts": 3}}
+                    "action": {"service": service, "timeout-ms": int(timeout_s * 1000), "max-attempts": 3}}
 
         rules = [rule("lookups", "/l/", "safe", "lookup", 200),
                  rule("orders", "/o/", "unsafe", "order", 300)]
         rules += [rule(f"v{each}", f"/v{each}/", "safe", "lookup", 200)
                   for each in range(1, version + 1)]
+        rules += [rule(each.service + each.prefix[1], each.prefix,
+                       "safe" if each.safe else "unsafe", each.service, 1200, each.timeout_s)
+                  for each in ROUTES]
+        services = ("lookup", "order", "records", "deposits")
         clusters = [{"name": name, "health-path": "/healthz", "max-connections": 200,
-                     "warmup-s": 3.0, "warmup-per-s": WARMUP_PER_S} for name in ("lookup", "order")]
+                     "warmup-s": 3.0, "warmup-per-s": WARMUP_PER_S} for name in services]
         configuration = {
             "version": f"{version:08x}",
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576,
                        "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "listeners": [{"host": "soak.example", "rules": rules}], "clusters": clusters}
         async with self.holding("configuration"):
+            sent = time.monotonic()
             accepted = await self.store("config", "main", configuration)
             if accepted:
+                self.checks.losses.configured(sent, time.monotonic())
                 self.version = version
                 self.configuration = configuration
                 self.checks.routes_since[f"v{version}"] = time.monotonic()
@@ -145,9 +167,9 @@
         async with self.holding("configuration"):
             while not await self.store("config", "main", self.configuration):
                 await asyncio.sleep(0.1)
-        for target in self.targets:
+        for target in self.all_targets:
             await target.report_until_accepted()
-        alive = {target.name for target in self.targets if target.up}
+        alive = {target.name for target in self.all_targets if target.up}
         for name in await self.names("servers"):
             if name not in alive:
                 await self.remove_until_gone("servers", name)
@@ -179,7 +201,7 @@
         while (await http_text.call(self.store_port, "GET", "/control"))[0] != 200:
             await asyncio.sleep(0.05)
         await self.configure()
-        await asyncio.gather(*(target.start() for target in self.targets))
+        await asyncio.gather(*(target.start() for target in self.all_targets))
         for instance in self.instances:
             instance.store_proxy = Proxy(self.store_port)
             await instance.store_proxy.start()
@@ -240,6 +262,18 @@
         with open(self.directory / "faults.log", "a", encoding="utf-8") as log:
             log.write(f"{time.monotonic():.3f} {text}\n")
 
+    def log_connection(self, text):
+        with open(self.directory / "connections.log", "a", encoding="utf-8") as log:
+            log.write(f"{time.monotonic():.3f} {text}\n")
+
+    async def watch_lag(self):
+        """Notes spans in which this process had no time for its callers."""
+        while True:
+            begin = time.monotonic()
+            await asyncio.sleep(0.02)
+            if time.monotonic() - begin > LAG_S:
+                self.checks.losses.lags.append((begin, time.monotonic()))
+
     async def keep_alive(self):
         """Finds instances that end by themselves."""
         while True:
@@ -255,6 +289,29 @@
             await asyncio.sleep(0.1)
         return watching
 
+    async def run_stops(self, span):
+        """Planned stops and other planned work only, on a system that nothing else disturbs."""
+        background = await self.start_ready()
+        callers = [Caller(self, number) for number in range(CALLERS)]
+        calls = [asyncio.create_task(each.run()) for each in callers]
+        background.append(asyncio.create_task(self.keep_alive()))
+        background.append(asyncio.create_task(self.watch_lag()))
+        await asyncio.sleep(1.0)
+        stops = asyncio.create_task(self.stop_series())
+        await asyncio.sleep(span)
+        await self.end(calls, background + [stops], float("inf"))
+
+    async def stop_series(self):
+        pause = STOP_PAUSE_S * 5 / len(self.instances)
+        await StopSeries(self, random.Random(self.seed + 3), pause).run()
+
+    async def end(self, calls, background, calm_from):
+        for each in calls + background:
+            each.cancel()
+        await asyncio.gather(*calls, *background, return_exceptions=True)
+        self.checks.finish(calm_from)
+        await self.close()
+
     async def run(self, short):
         start_s, faults_s, calm_s = PHASES[short]
         background = await self.start_ready()
@@ -263,6 +320,8 @@
         background.append(asyncio.create_task(self.keep_alive()))
         background.append(asyncio.create_task(self.limit_series(LIMIT_PAUSE_S)))
         background.append(asyncio.create_task(self.incident_series(INCIDENT_PAUSE_S)))
+        background.append(asyncio.create_task(self.watch_lag()))
+        background.append(asyncio.create_task(self.stop_series()))
         await asyncio.sleep(start_s)
         await self.fault_series(faults.UNPLANNED + faults.PLANNED, faults_s, 0.5)
         self.recovering = True
@@ -271,17 +330,13 @@
         self.log("calm")
         await self.fault_series(faults.PLANNED, calm_s, 1.5)
         await asyncio.sleep(1.0)
-        for each in calls + background:
-            each.cancel()
-        await asyncio.gather(*calls, *background, return_exceptions=True)
-        self.checks.finish(calm_from)
-        await self.close()
+        await self.end(calls, background, calm_from)
 
     async def close(self):
         """Ends the instances, closes all connections and waits for the tasks that serve them."""
         # Instances that outlive their proxies send to ports that another seed may use by then.
         self.stop()
-        for target in self.targets:
+        for target in self.all_targets:
             target.crash()
             target.proxy.stop()
         for instance in self.instances:
@@ -301,14 +356,18 @@
             self.store_process.wait()
 
 
-def run_seed(seed, slot, short):
+def run_seed(seed, given):
     """Plays one seed; True if every promise was kept."""
     directory = Path(tempfile.mkdtemp(prefix=f"catkintally-soak-{seed}-"))
 
     async def play():
-        world = World(seed, slot, directory)
+        world = World(seed, given.slot, directory, given.instances)
         try:
-            await world.run(short)
+            with busy.processors(given.busy):
+                if given.stops:
+                    await world.run_stops(given.stops)
+                else:
+                    await world.run(given.short)
         finally:
             world.stop()
         return world.checks
@@ -316,10 +375,11 @@
     checks = asyncio.run(play())
     answered = sum(each.status == 200 for each in checks.requests.values())
     print(f"seed {seed}: {len(checks.requests)} attempts, {answered} answered, "
-          f"{len(checks.violations)} broken promises", flush=True)
+          f"{len(checks.losses.stops)} planned stops, {len(checks.violations)} broken promises",
+          flush=True)
     for rule, detail in checks.violations[:10]:
         print(f"  {rule}: {detail}")
-    if checks.violations:
+    if checks.violations or given.keep:
         print(f"  logs are kept in {directory}")
     else:
         shutil.rmtree(directory)
@@ -334,13 +394,19 @@
     parser.add_argument("--regressions", action="store_true",
                         help="play the seeds that once found a fault")
     parser.add_argument("--short", action="store_true", help="a short run, as in CI")
+    parser.add_argument("--stops", type=float, default=0.0, metavar="SECONDS",
+                        help="play only planned stops and other planned work for so long")
+    parser.add_argument("--instances", type=int, default=5, help="number of instances, up to 40")
+    parser.add_argument("--busy", type=int, default=0, help="processes that take the processors")
+    parser.add_argument("--keep", action="store_true", help="keep the logs of good seeds, too")
     parser.add_argument("--slot", type=int, default=0, help=argparse.SUPPRESS)
     given = parser.parse_args()
     if given.regressions:
-        results = [run_seed(seed, given.slot, False) for seed in REGRESSIONS]
+        given.short, given.stops = False, 0.0
+        results = [run_seed(seed, given) for seed in REGRESSIONS]
         return 0 if all(results) else 1
     if given.seeds == 1:
-        return 0 if run_seed(given.seed, given.slot, given.short) else 1
+        return 0 if run_seed(given.seed, given) else 1
     # One process a seed, so that seeds do not share a loop.
     waiting = list(range(given.seed, given.seed + given.seeds))
     running, failed = {}, []
@@ -353,7 +419,9 @@
             if slot not in running and waiting:
                 seed = waiting.pop(0)
                 command = [sys.executable, "-m", "tools.soak.soak", f"--seed={seed}",
-                           f"--slot={slot}"] + (["--short"] if given.short else [])
+                           f"--slot={slot}", f"--instances={given.instances}",
+                           f"--busy={given.busy}", f"--stops={given.stops}"]
+                command += ["--short"] * given.short + ["--keep"] * given.keep
                 running[slot] = (seed, subprocess.Popen(command))
         time.sleep(0.1)
     print(f"{given.seeds} seeds, {len(failed)} with a broken promise: {failed}")
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -5,7 +5,9 @@
 import time
 
 from . import http_text
+from .loss_check import ANSWERED, BROKE_OFF, REFUSED
 from .proxy import Proxy, reset
+from .work import timing_of
 
 
 # A request on this path crashes each target that runs it.
@@ -15,7 +17,12 @@
 def body_of(service, path, request_body):
     """What a target of `service` answers to a request; callers compare it."""
     digest = hashlib.sha256(path.encode() + b"|" + request_body).hexdigest()
-    return (service + ":" + digest * 8).encode()
+    text = (service + ":" + digest * 8).encode()
+    timing = timing_of(path)
+    if timing is None:
+        return text
+    size = timing[1]
+    return (text * (size // len(text) + 1))[:size]
 
 
 @dataclasses.dataclass
@@ -29,12 +36,13 @@
 class Target:
     """One place at which incarnations of a target run, behind a proxy of its own."""
 
-    def __init__(self, world, number, service, domain):
+    def __init__(self, world, number, service, domain, slots=2, queue=4):
         self.world = world
         self.number = number
         self.service = service
         self.domain = domain
-        self.slots = 2
+        self.slots = slots
+        self.queue = queue
         self.service_s = 0.020
         self.slowdown = 1.0
         self.shed = 0.0
@@ -61,7 +69,16 @@
         self.state = "ready"
         self.cold_until = 0.0
         self.server = None
-        self.proxy = Proxy(0)
+        # What is at work, by the port from which its connection comes.
+        self.at_work = {}
+        self.proxy = Proxy(0, self.instance_left)
+
+    def instance_left(self, port, how):
+        """An instance has ended a connection, by `fin` or `reset`."""
+        work = self.at_work.get(port)
+        if work is not None:
+            self.world.log_connection(f"{self.name} lost its instance by {how} while it worked on "
+                                      f"{work.request}")
 
     @property
     def name(self):
@@ -103,6 +120,8 @@
     def crash(self):
         """Ends at once; connections are reset."""
         self.up = False
+        self.world.checks.losses.broke_off(self.name, time.monotonic())
+        self.at_work.clear()
         self.server.close()
         self.proxy.close()
         for writer in list(self.writers):
@@ -122,6 +141,14 @@
             self.crash()
             await self.remove()
 
+    async def leave_unlisted(self):
+        """Takes its registration back without a farewell, serves on for a while, and ends."""
+        await self.remove()
+        self.world.checks.draining(self.name, time.monotonic())
+        await asyncio.sleep(3.5)
+        if self.up:
+            self.crash()
+
     def load(self):
         return f"{self.running},{self.waiting},{self.slots},{int(self.slowdown * 100)}"
 
@@ -143,17 +170,27 @@
                     if stale.before:
                         writer.write(stale.before)
                         await writer.drain()
+                    losses = self.world.checks.losses
+                    work = losses.began(self.name, fields.get("x-catkintally-attempt-id", ""),
+                                        time.monotonic())
+                    port = writer.get_extra_info("peername")[1]
+                    self.at_work[port] = work
                     answer = await self.answer(method, path, fields, body)
+                    self.at_work.pop(port, None)
                     if answer is None:
+                        losses.worked(work, BROKE_OFF, time.monotonic())
                         reset(writer)
                         return
                     if self.world.chance(self.cut_head):
+                        losses.worked(work, BROKE_OFF, time.monotonic())
                         end = self.world.random.randrange(answer.index(b"\r\n\r\n") + 4)
                         writer.write(answer[:end])
                         await writer.drain()
                         if self.world.chance(0.5):
                             reset(writer)
                         return
+                    refused = http_text.is_refusal(answer) or b" 421 " in answer[:16]
+                    losses.worked(work, REFUSED if refused else ANSWERED, time.monotonic())
                     if http_text.is_refusal(answer):
                         refusal = answer
                         writer.write(answer)
@@ -226,7 +263,7 @@
             marks["Retry-After"] = f"{self.pause_s:.1f}"
             self.world.checks.turned_away(self.name, request, time.monotonic(), self.pause_s)
             return http_text.message("HTTP/1.1 503 Service Unavailable", marks)
-        if self.waiting >= 4 or self.world.chance(self.shed):
+        if self.waiting >= self.queue or self.world.chance(self.shed):
             marks["X-Catkintally-Not-Executed"] = "1"
             return http_text.message("HTTP/1.1 503 Service Unavailable", marks)
         incarnation = self.incarnation
@@ -241,7 +278,8 @@
                 self.crash()
                 self.world.revive(self)
                 return None
-            await asyncio.sleep(self.service_s * self.slowdown)
+            timing = timing_of(path)
+            await asyncio.sleep((timing[0] if timing else self.service_s) * self.slowdown)
             if incarnation == self.incarnation:
                 self.running -= 1
         if not self.up or incarnation != self.incarnation or self.world.chance(self.lose):
--- a/tools/soak/test_checks.py
+++ b/tools/soak/test_checks.py
@@ -3,6 +3,7 @@
 
 from .checks import Checks, Request
 from .limit_check import LimitCheck
+from .loss_check import ANSWERED, BROKE_OFF, REFUSED, End, LossCheck
 
 
 class Place:
@@ -118,5 +119,100 @@
                 self.assertEqual(self.found(**given), count)
 
 
+class LossCheckTest(unittest.TestCase):
+    """Guards against a check of lost requests that counts otherwise than the platform's rule. Each
+    case names what differs from a request that a target got in a planned stop from 10.0 on, and
+    whose connection ended without an answer."""
+
+    @staticmethod
+    def found(sent=11.0, last_byte=None, ended=12.0, how="fin", own=False, deadline=3.0, timeout=9.0,
+              work=11.1, worked=None, outcome=ANSWERED, behind=False, stop=10.0, reload=None,
+              configuration=None, disturbed=(), lag=None, calm_count=1):
+        check = LossCheck(6.0)
+        if stop is not None:
+            check.stopping("i0#1", stop)
+        if reload is not None:
+            check.reloaded("i0#1", reload)
+        if configuration is not None:
+            check.configured(*configuration)
+        for name, begin, end in disturbed:
+            check.disturbed[name].append((begin, end))
+        if lag is not None:
+            check.lags.append(lag)
+        for number in range(calm_count):
+            request = Request(f"r{number}", "i0#1", "GET", "/d/1", b"", True, "records", sent)
+            request.deadline_s, request.timeout_s = deadline, timeout
+            request.last_byte_at = sent if last_byte is None else last_byte
+            request.behind = behind
+            if work is not None:
+                begun = check.began("t1", request.request, work)
+                if worked is not None:
+                    check.worked(begun, outcome, worked)
+            check.finished(request, End(how, ended, own=own))
+        return len(list(check.broken()))
+
+    def test_cases(self):
+        silent = {"work": None}
+        cases = [
+            ("passed on, ended by FIN", {}, 1),
+            ("passed on, ended by a reset", {"how": "reset"}, 1),
+            ("the caller's limit", {"how": "limit", "ended": 14.9}, 1),
+            ("the caller's limit while the soak was too slow",
+             {"how": "limit", "ended": 14.9, "lag": (14.0, 14.5)}, 0),
+            ("its target had answered", {"worked": 11.5}, 1),
+            ("sent before the signal", {"sent": 8.0, "work": 8.1, "ended": 10.2}, 1),
+            ("ended 1 s after the grace", {"sent": 15.5, "work": 15.6, "ended": 16.9}, 1),
+            ("ended before the signal", {"sent": 8.0, "work": 8.1, "ended": 9.9}, 0),
+            ("ended long after the grace", {"sent": 16.5, "work": 16.6, "ended": 17.1}, 0),
+            ("its target broke off", {"worked": 11.5, "outcome": BROKE_OFF}, 0),
+            ("its target turned it away", {"worked": 11.5, "outcome": REFUSED}, 1),
+            ("its target's link was disturbed", {"disturbed": [("t1", 11.2, 11.3)]}, 0),
+            ("another target's link was disturbed", {"disturbed": [("t2", 11.2, 11.3)]}, 1),
+            ("the instance was disturbed 2.9 s before", {"disturbed": [("i0", 8.0, 8.1)]}, 0),
+            ("the instance was disturbed 3.1 s before", {"disturbed": [("i0", 7.0, 7.9)]}, 1),
+            ("another instance was disturbed", {"disturbed": [("i1", 11.0, 11.1)]}, 1),
+            ("the deadline was reached", {"ended": 14.0}, 0),
+            ("the route's timeout was reached", {"timeout": 0.9}, 0),
+            ("at work in the last sixth", {"deadline": 9.0, "ended": 15.9}, 0),
+            ("at work in the last sixth, sent in the second half",
+             {"sent": 13.1, "work": 13.2, "deadline": 9.0, "ended": 15.9}, 1),
+            ("at work until shortly before the last sixth",
+             {"deadline": 9.0, "worked": 14.9, "ended": 15.9}, 1),
+            ("cut shortly before the last sixth", {"deadline": 9.0, "ended": 14.9}, 1),
+            ("read and left", {**silent, "ended": 11.3}, 1),
+            ("crossed the close", {**silent, "ended": 11.1}, 0),
+            ("read late and left", {**silent, "last_byte": 11.9}, 0),
+            ("never sent in full", {**silent, "last_byte": float("inf")}, 0),
+            ("behind another, not passed on", {**silent, "behind": True}, 0),
+            ("behind another, passed on", {"behind": True}, 1),
+            ("an own answer beside its target's work", {"how": "answer", "own": True}, 1),
+            ("an own answer behind its target's work",
+             {"how": "answer", "own": True, "worked": 11.5}, 0),
+            ("an own answer before any work", {**silent, "how": "answer", "own": True}, 0),
+            ("an own answer at the deadline", {"how": "answer", "own": True, "ended": 14.01}, 0),
+            ("an own answer in the last sixth",
+             {"how": "answer", "own": True, "deadline": 9.0, "ended": 15.9}, 0),
+            ("an own answer without a stop", {"how": "answer", "own": True, "stop": None}, 0),
+            ("around a reload", {"stop": None, "reload": 11.5}, 1),
+            ("sent long after a reload", {"stop": None, "reload": 8.0}, 0),
+            ("cut before a reload", {"stop": None, "reload": 12.5}, 0),
+            ("beside a configuration", {"stop": None, "configuration": (10.0, 10.1)}, 1),
+            ("beside a configuration, after most of its time",
+             {"stop": None, "configuration": (10.0, 10.1), "ended": 13.2}, 0),
+            ("three at other times", {"stop": None, "calm_count": 3}, 0),
+            ("four at other times", {"stop": None, "calm_count": 4}, 1),
+        ]
+        for name, given, count in cases:
+            with self.subTest(name):
+                self.assertEqual(self.found(**given), count)
+
+    def test_a_target_that_crashes_breaks_off_its_work(self):
+        check = LossCheck(6.0)
+        work = check.began("t1", "r1", 1.0)
+        check.broke_off("t1", 2.0)
+        check.worked(work, ANSWERED, 3.0)
+        self.assertEqual((work.outcome, work.end), (BROKE_OFF, 2.0))
+
+
 if __name__ == "__main__":
     unittest.main()
