Soak: callers that read slowly while they go on sending

Not seen before: answers that a reset destroys. A stopping instance closes a connection 1 s after its last answer is in the kernel, whatever the caller has read; requests that come after that reset the connection.

A send that fails after a reset takes the error with it; the connection's end is then logged as a reset, not as FIN.

--- a/tools/soak/connection.py
+++ b/tools/soak/connection.py
@@ -34,6 +34,7 @@
         self.closing = False
         # How the connection ended: fin, reset or limit; None while it is open.
         self.how = None
+        self.was_reset = False
         self.may_send_body = asyncio.Event()
         # The caller sets itself no time limit.
         self.patient = False
@@ -72,6 +73,8 @@
         try:
             await asyncio.get_running_loop().sock_sendall(self.socket, data)
         except OSError:
+            # Sending fails after a reset only, which reading reports no second time.
+            self.was_reset = True
             return False
         if last:
             request.last_byte_at = time.monotonic()
@@ -107,7 +110,7 @@
                 self.how = "reset"
                 return False
             if not data:
-                self.how = "fin"
+                self.how = "reset" if self.was_reset else "fin"
                 return False
             self.received += data
             return True
--- a/tools/soak/late_reading_stop_caller.py
+++ b/tools/soak/late_reading_stop_caller.py
@@ -8,7 +8,8 @@
 
 
 class LateReadingStopCaller(StopCaller):
-    """Sends its requests shortly before the signal or in the first half of the grace."""
+    """Sends its requests shortly before the signal or in the first half of the grace; some go on
+    sending until the connection ends."""
 
     async def use(self, connection):
         connection.patient = True
@@ -19,7 +20,11 @@
             request = self.request(work=self.pick.choice(QUICK), size=self.pick.randint(200, 60_000))
             if not await connection.send_whole(request):
                 break
+        goes_on = self.pick.random() < 0.5
         while connection.process.poll() is None:
             await asyncio.sleep(0.02)
+            if goes_on and self.pick.random() < 0.2 and not await connection.send_whole(
+                    self.request(size=200)):
+                goes_on = False
         await asyncio.sleep(self.pick.uniform(0.0, 0.5))
         await connection.read_answers()
