--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -5,6 +5,7 @@
 """
 import argparse
 import asyncio
+import collections
 import contextlib
 import random
 import shutil
@@ -377,8 +378,11 @@
     print(f"seed {seed}: {len(checks.requests)} attempts, {answered} answered, "
           f"{len(checks.losses.stops)} planned stops, {len(checks.violations)} broken promises",
           flush=True)
-    for rule, detail in checks.violations[:10]:
-        print(f"  {rule}: {detail}")
+    with open(directory / "violations.log", "w", encoding="utf-8") as log:
+        log.writelines(f"{rule}: {detail}\n" for rule, detail in checks.violations)
+    for rule, count in collections.Counter(rule for rule, _ in checks.violations).items():
+        shown = [detail for found, detail in checks.violations if found == rule][:5]
+        print(f"  {count} {rule}: " + "\n    ".join(shown))
     if checks.violations or given.keep:
         print(f"  logs are kept in {directory}")
     else:
