Soak: up to 40 instances

With 40 instances this process served the proxies of all targets and had no time for its callers in 14 of 20 s.

--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -21,7 +21,11 @@
 
     async def start(self):
         """Listens, on the same port as before if it was closed."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        try:
+            self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        except OSError:
+            # An outgoing connection has taken the port meanwhile.
+            self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def close(self):
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -68,11 +68,14 @@
         self.targets = [
             Target(self, number, "lookup" if number < 9 else "order", DOMAINS[number % 3])
             for number in range(15)]
-        # Targets of the callers around planned stops.
+        # Targets of the callers around planned stops. Each instance asks each target how it is, so
+        # that many instances get fewer and larger targets: this process serves all of them.
+        many = count > MOST_STOPS_AS_FOR
+        parts, slots = (3, 6) if many else (6, 3)
         self.timed_targets = [
-            Target(self, 100 + number, "records" if number < 12 else "deposits",
-                   DOMAINS[number % 3], slots=3, queue=12)
-            for number in range(18)]
+            Target(self, 100 + number, "records" if number < 2 * parts else "deposits",
+                   DOMAINS[number % 3], slots=slots, queue=4 * slots, proxied=False)
+            for number in range(3 * parts)]
         self.settled_since = time.monotonic()
         self.disturbances = 0
         self.checks = Checks(
@@ -342,7 +345,8 @@
         self.stop()
         for target in self.all_targets:
             target.crash()
-            target.proxy.stop()
+            if target.proxy:
+                target.proxy.stop()
         for instance in self.instances:
             instance.store_proxy.stop()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -36,7 +36,7 @@
 class Target:
     """One place at which incarnations of a target run, behind a proxy of its own."""
 
-    def __init__(self, world, number, service, domain, slots=2, queue=4):
+    def __init__(self, world, number, service, domain, slots=2, queue=4, proxied=True):
         self.world = world
         self.number = number
         self.service = service
@@ -71,7 +71,9 @@
         self.server = None
         # What is at work, by the port from which its connection comes.
         self.at_work = {}
-        self.proxy = Proxy(0, self.instance_left)
+        self.proxy = Proxy(0, self.instance_left) if proxied else None
+        # Of a target without a proxy, the same for all incarnations.
+        self.port = 0
 
     def instance_left(self, port, how):
         """An instance has ended a connection, by `fin` or `reset`."""
@@ -95,20 +97,29 @@
         self.limit = None
         self.leaving = False
         self.pause_s = 0.0
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.proxy.target_port = port
-        await self.proxy.start()
+        self.server = await self.listen(0 if self.proxy else self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        if self.proxy:
+            self.proxy.target_port = self.port
+            await self.proxy.start()
+            self.port = self.proxy.port
         self.up = True
         await self.report()
 
+    async def listen(self, port):
+        try:
+            return await asyncio.start_server(self.serve, "127.0.0.1", port)
+        except OSError:
+            # An outgoing connection has taken the port of the last incarnation meanwhile.
+            return await asyncio.start_server(self.serve, "127.0.0.1", 0)
+
     async def report(self):
         """Writes the registration; True once the store has accepted it."""
         self.sequence += 1
         left = max(0, int((self.cold_until - time.monotonic()) * 1000))
         return await self.world.store(
             "servers", self.name,
-            {"address": f"127.0.0.1:{self.proxy.port}", "born": self.incarnation,
+            {"address": f"127.0.0.1:{self.port}", "born": self.incarnation,
              "info": {"service": self.service, "version": "v1", "zone": self.domain,
                       "concurrency": self.slots},
              "status": {"state": self.state, "sequence": self.sequence, "warmup-left-ms": left}})
@@ -123,7 +134,8 @@
         self.world.checks.losses.broke_off(self.name, time.monotonic())
         self.at_work.clear()
         self.server.close()
-        self.proxy.close()
+        if self.proxy:
+            self.proxy.close()
         for writer in list(self.writers):
             reset(writer)
 
@@ -176,6 +188,10 @@
                     port = writer.get_extra_info("peername")[1]
                     self.at_work[port] = work
                     answer = await self.answer(method, path, fields, body)
+                    if not self.proxy and reader.exception() is not None:
+                        self.instance_left(port, "reset")
+                    elif not self.proxy and reader.at_eof():
+                        self.instance_left(port, "fin")
                     self.at_work.pop(port, None)
                     if answer is None:
                         losses.worked(work, BROKE_OFF, time.monotonic())
