Callers: how connections end is counted, and logged in a planned stop

Metric catkintally_caller_connections_ended_total{how}, event 5005 for a connection that ends in a planned stop with requests unanswered or answers undelivered, event 1009 with what is open at each step of the stop. No change of behaviour.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/time/timer_service.hpp>
+#include <catkintally/entry/http/end_cause.hpp>
 #include <catkintally/entry/http/pending_request.hpp>
 #include <catkintally/entry/http/request_reader.hpp>
 
@@ -27,7 +28,7 @@
     std::function<caller_response(request_error)> refusal;
     /// The connection has ended. Called once, never from within a member function of the
     /// connection.
-    std::function<void()> ended;
+    std::function<void(const connection_summary&)> ended;
     /// Returns true if responses should close their connections.
     std::function<bool()> closing;
     /// Returns the current limits.
@@ -65,6 +66,12 @@
     /// Applies the time limits; called several times per second.
     void check_timeouts();
 
+    /// True from the end of the connection until its owner destroys it.
+    [[nodiscard]] bool has_ended() const { return phase_ == phase::ended; }
+
+    /// State of the connection if it ended now for this reason.
+    [[nodiscard]] connection_summary summary(end_cause how) const;
+
 private:
     enum class phase : std::uint8_t
     {
@@ -92,7 +99,7 @@
     void write_ready_responses();
     void write_response(const pending_response& due);
     void linger();
-    void end();
+    void end(end_cause how);
     [[nodiscard]] bool awaits_first_request() const;
 
     core::timer_service& timers_;
--- a/packages/entry/include/catkintally/entry/http/http_frontend.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_frontend.hpp
@@ -72,6 +72,9 @@
     /// Number of open connections.
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /// Bytes of answers that were not handed to the kernel, over all connections.
+    [[nodiscard]] std::size_t unsent_bytes() const;
+
 private:
     using connection_id = std::uint64_t;
     /// Identifies a request by its connection and its number on that connection.
@@ -82,7 +85,8 @@
     void start_request(const request_key& key, caller_request request);
     void answer_health_check(pending_request& call);
     void end_request(const request_key& key, const caller_response& response);
-    void remove_connection(connection_id id);
+    void remove_connection(connection_id id, const connection_summary& summary);
+    void record_end(const connection_summary& summary);
     void check_connections();
     [[nodiscard]] caller_response make_refusal(request_error error);
 
--- a/packages/entry/include/catkintally/entry/instance.hpp
+++ b/packages/entry/include/catkintally/entry/instance.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace catkintally::entry
 {
@@ -76,6 +77,7 @@
     void close_when_left();
     void finish_when_idle();
     void limit_requests();
+    void log_progress(const std::string& step) const;
     [[nodiscard]] core::duration time_to_end() const;
     void add_dump();
 
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/http/caller_connection.hpp>
+#include <catkintally/entry/http/socket_state.hpp>
 
 #include <boost/beast/http/status.hpp>
 
@@ -81,9 +82,15 @@
 
 void caller_connection::on_event(bufferevent*, short what, void* self)
 {
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    auto* connection = static_cast<caller_connection*>(self);
+    if ((what & BEV_EVENT_ERROR) != 0)
+    {
+        connection->end(end_cause::reset);
+    }
+    else if ((what & BEV_EVENT_EOF) != 0)
     {
-        static_cast<caller_connection*>(self)->end();
+        connection->end(
+            connection->responses_.empty() ? end_cause::caller_closed : end_cause::caller_gone);
     }
 }
 
@@ -228,7 +235,18 @@
     last_progress_ = timers_.now();
 }
 
-void caller_connection::end()
+connection_summary caller_connection::summary(end_cause how) const
+{
+    const int socket = bufferevent_getfd(stream_);
+    return {
+        .how = how,
+        .unanswered = responses_.size(),
+        .unsent_bytes = evbuffer_get_length(bufferevent_get_output(stream_)),
+        .unacknowledged_bytes = unacknowledged_bytes(socket).value_or(0),
+        .unread_input = peek_input(socket) == socket_input::data};
+}
+
+void caller_connection::end(end_cause how)
 {
     if (std::exchange(phase_, phase::ended) == phase::ended)
     {
@@ -237,7 +255,8 @@
     bufferevent_disable(stream_, EV_READ | EV_WRITE);
     // The owner destroys this object, whose callbacks may be on the stack, so `ended` is called
     // from a timer.
-    end_timer_ = timers_.schedule_after(core::duration::zero(), [this] { hooks_.ended(); });
+    end_timer_ = timers_.schedule_after(
+        core::duration::zero(), [this, ended = summary(how)] { hooks_.ended(ended); });
 }
 
 bool caller_connection::awaits_first_request() const
@@ -267,7 +286,7 @@
     if (phase_ == phase::open && !is_busy() &&
         recv(bufferevent_getfd(stream_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
     {
-        end();
+        end(end_cause::idle);
     }
 }
 
@@ -295,19 +314,19 @@
         }
         else if (!receiving_ && responses_.empty() && age > limits.idle_time)
         {
-            end();
+            end(end_cause::idle);
         }
         break;
     case phase::finishing:
         if (responses_.empty() && age > limits.idle_time)
         {
-            end();
+            end(end_cause::slow_reader);
         }
         break;
     case phase::lingering:
         if (age > linger_time)
         {
-            end();
+            end(end_cause::lingered);
         }
         break;
     case phase::ended:
--- a/packages/entry/src/http/http_frontend.cpp
+++ b/packages/entry/src/http/http_frontend.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 #include <netinet/in.h>
@@ -101,6 +102,13 @@
 {
     timers_.cancel(end_timer_);
     timers_.cancel(check_timer_);
+    for (const auto& [id, connection] : connections_)
+    {
+        if (!connection->has_ended())
+        {
+            record_end(connection->summary(end_cause::process_end));
+        }
+    }
     if (listener_ != nullptr)
     {
         evconnlistener_free(listener_);
@@ -185,7 +193,8 @@
                             start_request({id, call}, std::move(request));
                         },
                     .refusal = [this](request_error error) { return make_refusal(error); },
-                    .ended = [this, id] { remove_connection(id); },
+                    .ended = [this, id](const connection_summary& summary)
+                    { remove_connection(id, summary); },
                     .closing = [this] { return draining_; },
                     .limits = [this]() -> const core::caller_limits& { return options_.limits; },
                     .budget = options_.budget}));
@@ -237,8 +246,38 @@
     }
 }
 
-void http_frontend::remove_connection(connection_id id)
+std::size_t http_frontend::unsent_bytes() const
+{
+    return std::accumulate(
+        connections_.begin(), connections_.end(), std::size_t{0},
+        [](std::size_t sum, const auto& each)
+        { return sum + each.second->summary(end_cause::process_end).unsent_bytes; });
+}
+
+void http_frontend::record_end(const connection_summary& summary)
+{
+    const std::string how(end_cause_name(summary.how));
+    if (options_.metrics != nullptr)
+    {
+        options_.metrics->counter("catkintally_caller_connections_ended_total", {{"how", how}})
+            .add();
+    }
+    const bool incomplete = summary.unanswered > 0 || summary.unsent_bytes > 0;
+    if (draining_ && (incomplete || (summary.unacknowledged_bytes > 0 && summary.unread_input)))
+    {
+        log_event(
+            runtime::event_id::caller_cut,
+            {{"how", how},
+             {"unanswered", std::to_string(summary.unanswered)},
+             {"unsent", std::to_string(summary.unsent_bytes)},
+             {"unacknowledged", std::to_string(summary.unacknowledged_bytes)},
+             {"unread_input", summary.unread_input ? "yes" : "no"}});
+    }
+}
+
+void http_frontend::remove_connection(connection_id id, const connection_summary& summary)
 {
+    record_end(summary);
     // Removed first and destroyed last, so that a call that ends meanwhile does not find the
     // connection.
     const auto ended = connections_.extract(id);
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -234,6 +234,7 @@
         {
             if (*self != nullptr)
             {
+                (*self)->log_progress("answers_due");
                 (*self)->path_.end_all();
             }
         });
@@ -250,6 +251,7 @@
     if (--open_steps_ == 0)
     {
         front_.close_listener();
+        log_progress("listener_closed");
         finish_when_idle();
     }
 }
@@ -276,12 +278,22 @@
         {
             if (*self != nullptr)
             {
+                (*self)->log_progress("end");
                 log_event(runtime::event_id::process_stopped);
                 (*self)->stopped_();
             }
         }));
 }
 
+void instance::log_progress(const std::string& step) const
+{
+    log_event(
+        runtime::event_id::stop_progress, {{"step", step},
+                                           {"connections", std::to_string(front_.connections())},
+                                           {"requests", std::to_string(path_.in_flight())},
+                                           {"unsent", std::to_string(front_.unsent_bytes())}});
+}
+
 void instance::add_dump()
 {
     admin_.add_section(
