Planned stop: a connection is not kept open by requests that follow each other

Cause: only an answer with nothing behind it closed a connection. Now reading ends when the drain begins: what was read is answered, the last answer closes the connection, and what the caller sent behind counts as not read and can be sent elsewhere.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -60,6 +60,10 @@
     /// for a short time while the first request of a new connection is awaited.
     [[nodiscard]] bool is_busy() const;
 
+    /// Ends the connection after the requests that have been read, at least in part, or after the
+    /// next one if there is none. What the caller sends behind them counts as not read.
+    void begin_drain();
+
     /// Closes the connection if it is not busy and no unread input is waiting.
     void close_if_idle();
 
@@ -96,6 +100,7 @@
     void read_requests();
     void deliver_request();
     void refuse_request();
+    void finish_after_pending();
     void write_ready_responses();
     void write_response(const pending_response& due);
     void linger();
--- a/packages/entry/include/catkintally/entry/http/http_frontend.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_frontend.hpp
@@ -56,8 +56,9 @@
     /// Replaces the limits, also for open connections.
     void set_limits(const core::caller_limits& limits) { options_.limits = limits; }
 
-    /// From now on the last pending response of a connection closes it.
-    void begin_drain() { draining_ = true; }
+    /// From now on each connection is closed by the response to the last request that was read when
+    /// the drain began, or else to its next request.
+    void begin_drain();
 
     /// Closes the listener and all idle connections. Connections that wait in the listen queue are
     /// accepted first.
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -143,7 +143,7 @@
     last_progress_ = timers_.now();
     caller_request request = reader_.take();
     request.address = address_;
-    const bool last = !reader_.keeps_connection();
+    const bool last = !reader_.keeps_connection() || hooks_.closing();
     if (last)
     {
         phase_ = phase::finishing;
@@ -154,6 +154,26 @@
     hooks_.request(call, std::move(request));
 }
 
+void caller_connection::begin_drain()
+{
+    // Without this a caller that always has a request outstanding would never see a response that
+    // closes its connection.
+    if (phase_ == phase::open && !responses_.empty() && !receiving_)
+    {
+        finish_after_pending();
+    }
+}
+
+void caller_connection::finish_after_pending()
+{
+    assert(!responses_.empty());
+    responses_.back().last = true;
+    phase_ = phase::finishing;
+    evbuffer* input = bufferevent_get_input(stream_);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    bufferevent_enable(stream_, EV_READ);
+}
+
 void caller_connection::refuse_request()
 {
     // The refusal is sent after the pending responses.
--- a/packages/entry/src/http/http_frontend.cpp
+++ b/packages/entry/src/http/http_frontend.cpp
@@ -135,6 +135,15 @@
     return bound_port(evconnlistener_get_fd(listener_));
 }
 
+void http_frontend::begin_drain()
+{
+    draining_ = true;
+    for (const auto& [id, connection] : connections_)
+    {
+        connection->begin_drain();
+    }
+}
+
 void http_frontend::close_listener()
 {
     if (listener_ != nullptr)
