Callers: an idle connection is closed by FIN first, and the process waits for it

A request that was already in the socket of an idle connection was reset when the process ended in the same tick, and one that crossed the close was answered by a reset that may destroy an earlier answer.

Cause: the peek at the socket and the close were two steps, and finish_when_idle looked at requests and not at connections.

stop_callers_test "a request on an idle connection is answered or was sent after its close" failed before (a request 1 ms before the listener closes was reset).

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -64,7 +64,8 @@
     /// next one if there is none. What the caller sends behind them counts as not read.
     void begin_drain();
 
-    /// Closes the connection if it is not busy and no unread input is waiting.
+    /// Closes the sending side if the connection is not busy and no unread input is waiting. The
+    /// connection ends once the caller has closed its side as well, or soon after.
     void close_if_idle();
 
     /// Applies the time limits; called several times per second.
@@ -84,6 +85,9 @@
         finishing,
         /// All responses are sent; input is discarded until the caller has had time to read them.
         lingering,
+        /// The sending side was closed while no request was due. Input stays unread, so that the
+        /// caller of a request that crosses the close does not take it for one that was read.
+        closing,
         ended
     };
     struct pending_response
@@ -105,6 +109,7 @@
     void write_response(const pending_response& due);
     void linger();
     void end(end_cause how);
+    void end_if_closed();
     [[nodiscard]] bool awaits_first_request() const;
 
     core::timer_service& timers_;
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -293,6 +293,7 @@
                evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
     case phase::finishing:
     case phase::lingering:
+    case phase::closing:
         return true;
     case phase::ended:
         break;
@@ -302,9 +303,26 @@
 
 void caller_connection::close_if_idle()
 {
-    char byte = 0;
-    if (phase_ == phase::open && !is_busy() &&
-        recv(bufferevent_getfd(stream_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+    if (phase_ == phase::closing)
+    {
+        end_if_closed();
+        return;
+    }
+    const int socket = bufferevent_getfd(stream_);
+    if (phase_ != phase::open || is_busy() || peek_input(socket) != socket_input::none)
+    {
+        return;
+    }
+    bufferevent_disable(stream_, EV_READ);
+    shutdown(socket, SHUT_WR);
+    phase_ = phase::closing;
+    last_progress_ = timers_.now();
+}
+
+void caller_connection::end_if_closed()
+{
+    if (peek_input(bufferevent_getfd(stream_)) == socket_input::ended ||
+        timers_.now() - last_progress_ > linger_time)
     {
         end(end_cause::idle);
     }
@@ -334,7 +352,7 @@
         }
         else if (!receiving_ && responses_.empty() && age > limits.idle_time)
         {
-            end(end_cause::idle);
+            unsent > 0 ? end(end_cause::slow_reader) : close_if_idle();
         }
         break;
     case phase::finishing:
@@ -349,6 +367,9 @@
             end(end_cause::lingered);
         }
         break;
+    case phase::closing:
+        end_if_closed();
+        break;
     case phase::ended:
         break;
     }
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -258,7 +258,7 @@
 
 void instance::finish_when_idle()
 {
-    if (front_.is_busy() || path_.in_flight() > 0)
+    if (front_.connections() > 0 || path_.in_flight() > 0)
     {
         timers_.schedule_after(
             idle_check_interval,
