Callers: a connection lingers until its last answer is acknowledged

Cause: the second in which input is discarded began when the answer was in this machine's send buffer. After it the socket was closed, the next input reset the connection, and what had not been delivered was dropped. The second now begins when the caller's machine has acknowledged everything; a caller that takes nothing for the idle time is given up.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -110,6 +110,7 @@
     void linger();
     void end(end_cause how);
     void end_if_closed();
+    void check_delivery();
     [[nodiscard]] bool awaits_first_request() const;
 
     core::timer_service& timers_;
@@ -126,6 +127,7 @@
     bool receiving_ = false;
     bool was_in_body_ = false;
     std::size_t unsent_bytes_ = 0;
+    std::size_t unacknowledged_bytes_ = 0;
     core::timer_id end_timer_ = 0;
 };
 
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -23,8 +23,9 @@
 /// stay unread.
 constexpr std::size_t max_pipelined_requests = 32;
 
-/// Closing a socket with unread input resets the connection, and the reset can overtake the last
-/// response. Therefore input is read and discarded for this time before the socket is closed.
+/// Closing a socket with unread input resets the connection, and the caller may lose a response
+/// that it has not read. Therefore input is read and discarded for this time after the caller's
+/// machine has acknowledged the last response.
 constexpr auto linger_time = std::chrono::seconds(1);
 
 /// Time for which a stopping instance waits for the first request on a new connection. Callers send
@@ -319,6 +320,26 @@
     last_progress_ = timers_.now();
 }
 
+void caller_connection::check_delivery()
+{
+    // Until the answer is acknowledged, further input would let the kernel reset the closed
+    // connection and drop the rest of the answer.
+    const std::size_t unacknowledged = unacknowledged_bytes(bufferevent_getfd(stream_)).value_or(0);
+    if (unacknowledged != std::exchange(unacknowledged_bytes_, unacknowledged))
+    {
+        last_progress_ = timers_.now();
+    }
+    const auto age = timers_.now() - last_progress_;
+    if (unacknowledged > 0 && age > hooks_.limits().idle_time)
+    {
+        end(end_cause::slow_reader);
+    }
+    else if (unacknowledged == 0 && age > linger_time)
+    {
+        end(end_cause::lingered);
+    }
+}
+
 void caller_connection::end_if_closed()
 {
     if (peek_input(bufferevent_getfd(stream_)) == socket_input::ended ||
@@ -362,10 +383,7 @@
         }
         break;
     case phase::lingering:
-        if (age > linger_time)
-        {
-            end(end_cause::lingered);
-        }
+        check_delivery();
         break;
     case phase::closing:
         end_if_closed();
