Planned stop: the last answers have a twelfth of the grace, and the process ends itself

Callers whose head or body was not complete were killed without an answer, and a process whose timers run late had 100 ms between its last answers and the kill, counted from when the loop saw the signal.

Now answers are due at 11/12 of the grace, within the last sixth in which a target may be cut off: what is at work then gets 502, what is not complete 503 `stopping`, and unsent output is handed to the kernel, which delivers it after the end of the process.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -68,6 +68,10 @@
     /// connection ends once the caller has closed its side as well, or soon after.
     void close_if_idle();
 
+    /// Refuses a request that is not complete, closes an idle connection, and hands the unsent
+    /// output to the kernel.
+    void finish();
+
     /// Applies the time limits; called several times per second.
     void check_timeouts();
 
@@ -103,7 +107,7 @@
     static void on_event(bufferevent*, short what, void* self);
     void read_requests();
     void deliver_request();
-    void refuse_request();
+    void refuse_request(request_error error);
     void finish_after_pending();
     void write_ready_responses();
     void write_response(const pending_response& due);
--- a/packages/entry/include/catkintally/entry/http/http_frontend.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_frontend.hpp
@@ -64,6 +64,10 @@
     /// accepted first.
     void close_listener();
 
+    /// Refuses requests that are not complete, closes idle connections and hands what is left of
+    /// the responses to the kernel. Called when every request has been answered.
+    void finish();
+
     /// True while a request is being received or handled, or a response is being written.
     [[nodiscard]] bool is_busy() const;
 
--- a/packages/entry/include/catkintally/entry/http/request_check.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_check.hpp
@@ -26,7 +26,9 @@
     slow_caller,
     bad_deadline,
     bad_key,
-    no_service
+    no_service,
+    /// The instance stops, and the request is not complete in time.
+    stopping
 };
 
 /// HTTP status code of the refusal.
--- a/packages/entry/include/catkintally/entry/http/socket_state.hpp
+++ b/packages/entry/include/catkintally/entry/http/socket_state.hpp
@@ -23,4 +23,12 @@
 /// included; empty if the system does not tell.
 [[nodiscard]] std::optional<std::size_t> unacknowledged_bytes(int socket);
 
+/// Enlarges the send buffer so that it takes `bytes` more, as far as the system allows. The kernel
+/// delivers what is in the buffer even after the process has ended.
+void reserve_send_buffer(int socket, std::size_t bytes);
+
+/// Removes what is in the receive queue, up to a bound. Closing a socket with unread input resets
+/// the connection.
+void discard_input(int socket);
+
 } // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/instance.hpp
+++ b/packages/entry/include/catkintally/entry/instance.hpp
@@ -77,6 +77,7 @@
     void close_when_left();
     void finish_when_idle();
     void limit_requests();
+    void end();
     void log_progress(const std::string& step) const;
     [[nodiscard]] core::duration time_to_end() const;
     void add_dump();
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -64,6 +64,10 @@
 caller_connection::~caller_connection()
 {
     timers_.cancel(end_timer_);
+    if (phase_ == phase::finishing || phase_ == phase::lingering)
+    {
+        discard_input(bufferevent_getfd(stream_));
+    }
     bufferevent_free(stream_);
 }
 
@@ -108,7 +112,7 @@
         const read_state state = reader_.read(input, hooks_.limits());
         if (state == read_state::error)
         {
-            refuse_request();
+            refuse_request(reader_.error());
             return;
         }
         if (state == read_state::done)
@@ -175,13 +179,14 @@
     bufferevent_enable(stream_, EV_READ);
 }
 
-void caller_connection::refuse_request()
+void caller_connection::refuse_request(request_error error)
 {
     // The refusal is sent after the pending responses.
     phase_ = phase::finishing;
+    receiving_ = false;
     pending_response& due = responses_.emplace_back();
     due.last = true;
-    due.response = hooks_.refusal(reader_.error());
+    due.response = hooks_.refusal(error);
     evbuffer* input = bufferevent_get_input(stream_);
     evbuffer_drain(input, evbuffer_get_length(input));
     write_ready_responses();
@@ -320,6 +325,20 @@
     last_progress_ = timers_.now();
 }
 
+void caller_connection::finish()
+{
+    if (phase_ == phase::open && receiving_)
+    {
+        refuse_request(request_error::stopping);
+    }
+    const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(stream_));
+    if (unsent > 0)
+    {
+        reserve_send_buffer(bufferevent_getfd(stream_), unsent);
+    }
+    close_if_idle();
+}
+
 void caller_connection::check_delivery()
 {
     // Until the answer is acknowledged, further input would let the kernel reset the closed
@@ -365,11 +384,7 @@
     case phase::open:
         if (receiving_ && age > limits.request_time)
         {
-            phase_ = phase::finishing;
-            pending_response& due = responses_.emplace_back();
-            due.last = true;
-            due.response = hooks_.refusal(request_error::slow_caller);
-            write_ready_responses();
+            refuse_request(request_error::slow_caller);
         }
         else if (!receiving_ && responses_.empty() && age > limits.idle_time)
         {
--- a/packages/entry/src/http/http_frontend.cpp
+++ b/packages/entry/src/http/http_frontend.cpp
@@ -34,6 +34,22 @@
 /// memory is free again, within this time.
 constexpr auto no_memory_retry_after = std::chrono::milliseconds(500);
 
+/// Retry-After of an instance that stops. Others are ready.
+constexpr auto stopping_retry_after = std::chrono::milliseconds(100);
+
+core::duration retry_after_of(request_error error)
+{
+    switch (error)
+    {
+    case request_error::no_body_memory:
+        return no_memory_retry_after;
+    case request_error::stopping:
+        return stopping_retry_after;
+    default:
+        return core::duration::zero();
+    }
+}
+
 /// IP address of a socket address, without the port; "" on failure.
 std::string ip_address_of(const sockaddr* name)
 {
@@ -182,6 +198,14 @@
     }
 }
 
+void http_frontend::finish()
+{
+    for (const auto& [id, connection] : connections_)
+    {
+        connection->finish();
+    }
+}
+
 bool http_frontend::is_busy() const
 {
     return !pending_requests_.empty() ||
@@ -322,12 +346,11 @@
     runtime::log_event(
         runtime::event_id::request_refused,
         {{"request", id}, {"reason", reason}, {"host", ""}, {"path", ""}});
-    const bool temporary = error == request_error::no_body_memory;
     caller_response out = make_response(
         {.status = request_error_status(error),
          .claim = core::run_claim::not_run,
          .reason = reason,
-         .retry_after = temporary ? core::duration(no_memory_retry_after) : core::duration::zero()},
+         .retry_after = retry_after_of(error)},
         id, options_.fractional_retry_after);
     if (error == request_error::method_not_allowed)
     {
--- a/packages/entry/src/http/request_check.cpp
+++ b/packages/entry/src/http/request_check.cpp
@@ -34,7 +34,8 @@
      {request_error::slow_caller, 408, "slow_caller"},
      {request_error::bad_deadline, 400, "bad_deadline"},
      {request_error::bad_key, 400, "bad_key"},
-     {request_error::no_service, 404, "no_service"}});
+     {request_error::no_service, 404, "no_service"},
+     {request_error::stopping, 503, "stopping"}});
 
 const error_entry& entry_of(request_error error)
 {
--- a/packages/entry/src/http/socket_state.cpp
+++ b/packages/entry/src/http/socket_state.cpp
@@ -1,5 +1,7 @@
 #include <catkintally/entry/http/socket_state.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 
 #include <linux/sockios.h>
@@ -9,6 +11,14 @@
 namespace catkintally::entry
 {
 
+namespace
+{
+
+constexpr std::size_t max_send_buffer = 16'777'216;
+constexpr int max_discard_rounds = 64;
+
+} // namespace
+
 socket_input peek_input(int socket)
 {
     char byte = 0;
@@ -31,4 +41,32 @@
     return static_cast<std::size_t>(bytes);
 }
 
+void reserve_send_buffer(int socket, std::size_t bytes)
+{
+    // The kernel counts its own bookkeeping against the buffer, which can double the size.
+    constexpr std::size_t overhead = 2;
+    const std::size_t queued = unacknowledged_bytes(socket).value_or(0);
+    const auto wanted =
+        static_cast<int>(std::min<std::size_t>((queued + bytes) * overhead, max_send_buffer));
+    int size = 0;
+    socklen_t length = sizeof size;
+    // Setting a size turns off the kernel's own adjustment, so that a larger buffer is kept.
+    if (getsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, &length) == 0 && size < wanted)
+    {
+        setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &wanted, sizeof wanted);
+    }
+}
+
+void discard_input(int socket)
+{
+    std::array<char, 16'384> chunk{};
+    for (int round = 0; round < max_discard_rounds; ++round)
+    {
+        if (recv(socket, chunk.data(), chunk.size(), MSG_DONTWAIT) <= 0)
+        {
+            return;
+        }
+    }
+}
+
 } // namespace catkintally::entry
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -20,9 +20,11 @@
 /// How often a stopping instance checks whether everything in flight has ended.
 constexpr auto idle_check_interval = milliseconds(10);
 
-/// Time before the end of the grace at which all answers must be written, so that they reach the
-/// callers.
-constexpr auto answer_margin = milliseconds(100);
+/// Parts of the grace that are left when the last answers are written, and when the process ends.
+/// The grace began before this process saw the signal, and a process with a tenth of a core may run
+/// a timer some hundred milliseconds late.
+constexpr int answer_margin_divisor = 12;
+constexpr int end_margin_divisor = 24;
 
 /// Part of the memory that bodies may take. A growing string holds up to three times its size for a
 /// moment, and connections and tables need their room.
@@ -225,7 +227,7 @@
     {
         return;
     }
-    const auto left = std::max<core::duration>(grace - answer_margin, core::duration::zero());
+    const core::duration left = grace - grace / answer_margin_divisor;
     answers_due_ = timers_.now() + left;
     path_.begin_stop();
     timers_.schedule_after(
@@ -236,6 +238,16 @@
             {
                 (*self)->log_progress("answers_due");
                 (*self)->path_.end_all();
+                (*self)->front_.finish();
+            }
+        });
+    timers_.schedule_after(
+        grace - grace / end_margin_divisor,
+        [self = self_]
+        {
+            if (*self != nullptr)
+            {
+                (*self)->end();
             }
         });
 }
@@ -278,13 +290,21 @@
         {
             if (*self != nullptr)
             {
-                (*self)->log_progress("end");
-                log_event(runtime::event_id::process_stopped);
-                (*self)->stopped_();
+                (*self)->end();
             }
         }));
 }
 
+void instance::end()
+{
+    if (const auto stopped = std::exchange(stopped_, nullptr))
+    {
+        log_progress("end");
+        log_event(runtime::event_id::process_stopped);
+        stopped();
+    }
+}
+
 void instance::log_progress(const std::string& step) const
 {
     log_event(
