Callers: one that closes its sending side gets its answer

HTTP/1.1 callers may close their sending side after the request.

A FIN alone does not tell a closed connection from a half-closed one. An interim response does: callers skip 1xx responses that they did not ask for, and the machine of a closed connection answers with a reset, which is looked for 100 ms later. HTTP/1.0 callers do not know interim responses; for them a closed sending side still means that they are gone.

Ruled out: taking each FIN for a half-close.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -112,7 +112,10 @@
     void write_ready_responses();
     void write_response(const pending_response& due);
     void linger();
+    void on_input_ended();
+    void write_interim_response();
     void end(end_cause how);
+    void end_if_gone();
     void end_if_closed();
     void check_delivery();
     [[nodiscard]] bool awaits_first_request() const;
@@ -130,9 +133,12 @@
     /// Part of a request has arrived, but not all of it.
     bool receiving_ = false;
     bool was_in_body_ = false;
+    /// The caller has closed its sending side and may still read.
+    bool input_ended_ = false;
     std::size_t unsent_bytes_ = 0;
     std::size_t unacknowledged_bytes_ = 0;
     core::timer_id end_timer_ = 0;
+    core::timer_id gone_timer_ = 0;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/http/request_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_reader.hpp
@@ -46,6 +46,10 @@
     /// True if the request that was taken last allows further requests on its connection.
     [[nodiscard]] bool keeps_connection() const { return keeps_connection_; }
 
+    /// True if the caller of the last request understands interim (1xx) responses, which HTTP/1.0
+    /// does not have.
+    [[nodiscard]] bool accepts_interim_responses() const { return accepts_interim_; }
+
 private:
     read_state refuse(request_error error);
     read_state read_head(evbuffer* input, const core::caller_limits& limits);
@@ -59,6 +63,7 @@
     request_error error_ = request_error::malformed;
     bool expects_continue_ = false;
     bool keeps_connection_ = true;
+    bool accepts_interim_ = true;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/include/catkintally/entry/http/socket_state.hpp
+++ b/packages/entry/include/catkintally/entry/http/socket_state.hpp
@@ -23,6 +23,9 @@
 /// included; empty if the system does not tell.
 [[nodiscard]] std::optional<std::size_t> unacknowledged_bytes(int socket);
 
+/// True if the connection has failed, for example by a reset.
+[[nodiscard]] bool has_failed(int socket);
+
 /// Enlarges the send buffer so that it takes `bytes` more, as far as the system allows. The kernel
 /// delivers what is in the buffer even after the process has ended.
 void reserve_send_buffer(int socket, std::size_t bytes);
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -28,6 +28,9 @@
 /// machine has acknowledged the last response.
 constexpr auto linger_time = std::chrono::seconds(1);
 
+/// Time after an interim response in which the reset of a closed connection arrives.
+constexpr auto gone_check_delay = std::chrono::milliseconds(100);
+
 /// Time for which a stopping instance waits for the first request on a new connection. Callers send
 /// it immediately; the time allows for a slow link.
 constexpr auto first_request_timeout = std::chrono::milliseconds(500);
@@ -64,6 +67,7 @@
 caller_connection::~caller_connection()
 {
     timers_.cancel(end_timer_);
+    timers_.cancel(gone_timer_);
     if (phase_ == phase::finishing || phase_ == phase::lingering)
     {
         discard_input(bufferevent_getfd(stream_));
@@ -94,11 +98,57 @@
     }
     else if ((what & BEV_EVENT_EOF) != 0)
     {
-        connection->end(
-            connection->responses_.empty() ? end_cause::caller_closed : end_cause::caller_gone);
+        connection->on_input_ended();
+    }
+}
+
+void caller_connection::on_input_ended()
+{
+    input_ended_ = true;
+    const bool unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
+    if (responses_.empty() && !unsent)
+    {
+        end(end_cause::caller_closed);
+        return;
+    }
+    if (!responses_.empty() && !reader_.accepts_interim_responses())
+    {
+        end(end_cause::caller_gone);
+        return;
+    }
+    // The caller has closed the connection, or only its sending side and waits for its responses.
+    // An interim response, which callers ignore, tells one from the other: a closed connection
+    // answers it with a reset.
+    phase_ = phase::finishing;
+    receiving_ = false;
+    if (!responses_.empty())
+    {
+        responses_.back().last = true;
+        write_interim_response();
+        gone_timer_ = timers_.schedule_after(
+            gone_check_delay,
+            [this]
+            {
+                gone_timer_ = 0;
+                end_if_gone();
+            });
+    }
+}
+
+void caller_connection::end_if_gone()
+{
+    if (has_failed(bufferevent_getfd(stream_)))
+    {
+        end(end_cause::caller_gone);
     }
 }
 
+void caller_connection::write_interim_response()
+{
+    constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    bufferevent_write(stream_, interim.data(), interim.size());
+}
+
 void caller_connection::read_requests()
 {
     evbuffer* input = bufferevent_get_input(stream_);
@@ -130,8 +180,7 @@
         was_in_body_ = reader_.in_body();
         if (responses_.empty() && reader_.take_expect_continue())
         {
-            constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-            bufferevent_write(stream_, interim.data(), interim.size());
+            write_interim_response();
         }
         return;
     }
@@ -353,7 +402,7 @@
     {
         end(end_cause::slow_reader);
     }
-    else if (unacknowledged == 0 && age > linger_time)
+    else if (unacknowledged == 0 && (input_ended_ || age > linger_time))
     {
         end(end_cause::lingered);
     }
@@ -396,6 +445,10 @@
         {
             end(end_cause::slow_reader);
         }
+        else if (input_ended_)
+        {
+            end_if_gone();
+        }
         break;
     case phase::lingering:
         check_delivery();
--- a/packages/entry/src/http/request_reader.cpp
+++ b/packages/entry/src/http/request_reader.cpp
@@ -107,7 +107,8 @@
     request_.host = host == nullptr ? "" : *host;
     expects_continue_ = find_field(request_.fields, "Expect") != nullptr;
 
-    keeps_connection_ = allows_keep_alive(request_.fields, line.ends_with("1.1"));
+    accepts_interim_ = line.ends_with("1.1");
+    keeps_connection_ = allows_keep_alive(request_.fields, accepts_interim_);
     body_.emplace(
         parse_body_framing(request_.fields),
         body_reader_options{
--- a/packages/entry/src/http/socket_state.cpp
+++ b/packages/entry/src/http/socket_state.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -41,6 +42,12 @@
     return static_cast<std::size_t>(bytes);
 }
 
+bool has_failed(int socket)
+{
+    pollfd polled{.fd = socket, .events = 0, .revents = 0};
+    return poll(&polled, 1, 0) > 0 && (polled.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 void reserve_send_buffer(int socket, std::size_t bytes)
 {
     // The kernel counts its own bookkeeping against the buffer, which can double the size.
