Callers: 100 Continue is sent once the requests before it are answered

A caller that waits for 100 Continue behind a pipelined request was never told to go on, unless it sent more: the reader was asked only when input arrived. In a planned stop it was killed without an answer.

stop_partial_requests_test "100 Continue is sent once the requests before it are answered" and "a caller that waits for 100 Continue ..." (12 of 18 rows) failed before.

--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -268,6 +268,10 @@
         write_response(due);
         last_progress_ = timers_.now();
     }
+    if (phase_ == phase::open && responses_.empty() && reader_.take_expect_continue())
+    {
+        write_interim_response();
+    }
     if (phase_ == phase::open && responses_.size() < max_pipelined_requests &&
         (bufferevent_get_enabled(stream_) & EV_READ) == 0)
     {
