Callers: reading goes on once a connection is to end

So the caller's close was not seen, and unread input turned the close into a reset.

Now a connection that reads no more requests reads and discards its input.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -109,12 +109,14 @@
     void deliver_request();
     void refuse_request(request_error error);
     void finish_after_pending();
+    void stop_reading_requests();
     void write_ready_responses();
     void write_response(const pending_response& due);
     void linger();
     void on_input_ended();
     void write_interim_response();
     void end(end_cause how);
+    void probe_caller();
     void end_if_gone();
     void end_if_closed();
     void check_delivery();
@@ -135,6 +137,8 @@
     bool was_in_body_ = false;
     /// The caller has closed its sending side and may still read.
     bool input_ended_ = false;
+    /// An interim response was sent to find out whether the caller is still there.
+    bool probed_ = false;
     std::size_t unsent_bytes_ = 0;
     std::size_t unacknowledged_bytes_ = 0;
     core::timer_id end_timer_ = 0;
--- a/packages/entry/include/catkintally/entry/http/socket_state.hpp
+++ b/packages/entry/include/catkintally/entry/http/socket_state.hpp
@@ -23,8 +23,18 @@
 /// included; empty if the system does not tell.
 [[nodiscard]] std::optional<std::size_t> unacknowledged_bytes(int socket);
 
-/// True if the connection has failed, for example by a reset.
-[[nodiscard]] bool has_failed(int socket);
+/// What is known of the other end of a connection.
+enum class peer_state : std::uint8_t
+{
+    open,
+    /// It has closed its sending side, and perhaps the whole connection.
+    sending_closed,
+    /// The connection has failed, for example by a reset.
+    failed
+};
+
+/// State of the peer, also while input is unread.
+[[nodiscard]] peer_state look_at_peer(int socket);
 
 /// Enlarges the send buffer so that it takes `bytes` more, as far as the system allows. The kernel
 /// delivers what is in the buffer even after the process has ended.
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -111,7 +111,18 @@
         end(end_cause::caller_closed);
         return;
     }
-    if (!responses_.empty() && !reader_.accepts_interim_responses())
+    phase_ = phase::finishing;
+    receiving_ = false;
+    if (!responses_.empty())
+    {
+        responses_.back().last = true;
+        probe_caller();
+    }
+}
+
+void caller_connection::probe_caller()
+{
+    if (!reader_.accepts_interim_responses())
     {
         end(end_cause::caller_gone);
         return;
@@ -119,11 +130,8 @@
     // The caller has closed the connection, or only its sending side and waits for its responses.
     // An interim response, which callers ignore, tells one from the other: a closed connection
     // answers it with a reset.
-    phase_ = phase::finishing;
-    receiving_ = false;
-    if (!responses_.empty())
+    if (!std::exchange(probed_, true))
     {
-        responses_.back().last = true;
         write_interim_response();
         gone_timer_ = timers_.schedule_after(
             gone_check_delay,
@@ -137,7 +145,7 @@
 
 void caller_connection::end_if_gone()
 {
-    if (has_failed(bufferevent_getfd(stream_)))
+    if (look_at_peer(bufferevent_getfd(stream_)) == peer_state::failed)
     {
         end(end_cause::caller_gone);
     }
@@ -184,7 +192,7 @@
         }
         return;
     }
-    if (responses_.size() >= max_pipelined_requests)
+    if (phase_ == phase::open)
     {
         bufferevent_disable(stream_, EV_READ);
     }
@@ -200,7 +208,7 @@
     const bool last = !reader_.keeps_connection() || hooks_.closing();
     if (last)
     {
-        phase_ = phase::finishing;
+        stop_reading_requests();
     }
     const std::uint64_t call = ++last_call_;
     responses_.push_back(
@@ -222,22 +230,27 @@
 {
     assert(!responses_.empty());
     responses_.back().last = true;
+    stop_reading_requests();
+}
+
+void caller_connection::stop_reading_requests()
+{
     phase_ = phase::finishing;
+    receiving_ = false;
     evbuffer* input = bufferevent_get_input(stream_);
     evbuffer_drain(input, evbuffer_get_length(input));
+    // Reading may be disabled because of the number of pending requests. The end of the connection
+    // would go unnoticed, and unread input would reset it when it is closed.
     bufferevent_enable(stream_, EV_READ);
 }
 
 void caller_connection::refuse_request(request_error error)
 {
     // The refusal is sent after the pending responses.
-    phase_ = phase::finishing;
-    receiving_ = false;
+    stop_reading_requests();
     pending_response& due = responses_.emplace_back();
     due.last = true;
     due.response = hooks_.refusal(error);
-    evbuffer* input = bufferevent_get_input(stream_);
-    evbuffer_drain(input, evbuffer_get_length(input));
     write_ready_responses();
 }
 
@@ -261,9 +274,9 @@
         // have reached a target. Therefore only the last pending response closes the connection.
         const bool may_end = responses_.empty() && !receiving_;
         due.last = due.last || (may_end && (due.response->close || hooks_.closing()));
-        if (due.last)
+        if (due.last && phase_ == phase::open)
         {
-            phase_ = phase::finishing;
+            stop_reading_requests();
         }
         write_response(due);
         last_progress_ = timers_.now();
@@ -432,6 +445,17 @@
     }
     const auto age = now - last_progress_;
     const core::caller_limits& limits = hooks_.limits();
+    if (probed_)
+    {
+        end_if_gone();
+    }
+    else if (
+        (bufferevent_get_enabled(stream_) & EV_READ) == 0 && !responses_.empty() &&
+        look_at_peer(bufferevent_getfd(stream_)) != peer_state::open)
+    {
+        // Input is not read while many requests are pending, so no event reports its end.
+        probe_caller();
+    }
     switch (phase_)
     {
     case phase::open:
@@ -449,10 +473,6 @@
         {
             end(end_cause::slow_reader);
         }
-        else if (input_ended_)
-        {
-            end_if_gone();
-        }
         break;
     case phase::lingering:
         check_delivery();
--- a/packages/entry/src/http/socket_state.cpp
+++ b/packages/entry/src/http/socket_state.cpp
@@ -42,10 +42,15 @@
     return static_cast<std::size_t>(bytes);
 }
 
-bool has_failed(int socket)
+peer_state look_at_peer(int socket)
 {
-    pollfd polled{.fd = socket, .events = 0, .revents = 0};
-    return poll(&polled, 1, 0) > 0 && (polled.revents & (POLLERR | POLLHUP)) != 0;
+    pollfd polled{.fd = socket, .events = POLLRDHUP, .revents = 0};
+    if (poll(&polled, 1, 0) <= 0)
+    {
+        return peer_state::open;
+    }
+    return (polled.revents & (POLLERR | POLLHUP)) != 0 ? peer_state::failed
+                                                       : peer_state::sending_closed;
 }
 
 void reserve_send_buffer(int socket, std::size_t bytes)
