Callers: one that closes while its input is not read is noticed

With 32 requests outstanding nothing reads the socket, so that a caller's close went unnoticed while targets worked for it; the same holds for one that closes its connection some time after its sending side. Such connections are now looked at with the time limits, four times a second, and probed by an interim response.

half_close_test "a caller that closes its connection with unread input is noticed" and the rows of "a caller that closes its connection is noticed" that half-close first failed before.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -117,7 +117,7 @@
     void write_interim_response();
     void end(end_cause how);
     void probe_caller();
-    void end_if_gone();
+    void check_unread_caller();
     void end_if_closed();
     void check_delivery();
     [[nodiscard]] bool awaits_first_request() const;
@@ -137,8 +137,6 @@
     bool was_in_body_ = false;
     /// The caller has closed its sending side and may still read.
     bool input_ended_ = false;
-    /// An interim response was sent to find out whether the caller is still there.
-    bool probed_ = false;
     std::size_t unsent_bytes_ = 0;
     std::size_t unacknowledged_bytes_ = 0;
     core::timer_id end_timer_ = 0;
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -130,24 +130,35 @@
     // The caller has closed the connection, or only its sending side and waits for its responses.
     // An interim response, which callers ignore, tells one from the other: a closed connection
     // answers it with a reset.
-    if (!std::exchange(probed_, true))
+    if (evbuffer_get_length(bufferevent_get_output(stream_)) == 0)
     {
         write_interim_response();
-        gone_timer_ = timers_.schedule_after(
-            gone_check_delay,
-            [this]
-            {
-                gone_timer_ = 0;
-                end_if_gone();
-            });
     }
+    timers_.cancel(gone_timer_);
+    gone_timer_ = timers_.schedule_after(
+        gone_check_delay,
+        [this]
+        {
+            gone_timer_ = 0;
+            if (look_at_peer(bufferevent_getfd(stream_)) == peer_state::failed)
+            {
+                end(end_cause::caller_gone);
+            }
+        });
 }
 
-void caller_connection::end_if_gone()
+void caller_connection::check_unread_caller()
 {
-    if (look_at_peer(bufferevent_getfd(stream_)) == peer_state::failed)
+    switch (look_at_peer(bufferevent_getfd(stream_)))
     {
+    case peer_state::open:
+        break;
+    case peer_state::sending_closed:
+        probe_caller();
+        break;
+    case peer_state::failed:
         end(end_cause::caller_gone);
+        break;
     }
 }
 
@@ -445,16 +456,12 @@
     }
     const auto age = now - last_progress_;
     const core::caller_limits& limits = hooks_.limits();
-    if (probed_)
+    if ((bufferevent_get_enabled(stream_) & EV_READ) == 0 && !responses_.empty() &&
+        phase_ != phase::ended)
     {
-        end_if_gone();
-    }
-    else if (
-        (bufferevent_get_enabled(stream_) & EV_READ) == 0 && !responses_.empty() &&
-        look_at_peer(bufferevent_getfd(stream_)) != peer_state::open)
-    {
-        // Input is not read while many requests are pending, so no event reports its end.
-        probe_caller();
+        // Input is not read after its end and while many requests are pending, so that no event
+        // reports that the caller has gone.
+        check_unread_caller();
     }
     switch (phase_)
     {
