Planned stop: requests that arrive together are read together

Ending a connection with its next request dropped what a pipelining or half-closing caller had sent in the same segment. Callers may send it again, but it can as well be answered: the connection ends with the last request that has arrived, or the one that is being received. Responses are written once the input has been taken, so that a refusal that closes the connection does not drop the requests behind it.

planned_stop_test: a pipelining caller connects again when its connection has been closed, as callers do; before, its connection lived until the kill. Its checks are the same.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -12,6 +12,7 @@
 #include <string>
 
 struct bufferevent;
+struct evbuffer;
 struct event_base;
 
 namespace catkintally::entry
@@ -106,6 +107,7 @@
     static void on_written(bufferevent*, void* self);
     static void on_event(bufferevent*, short what, void* self);
     void read_requests();
+    void take_requests(evbuffer* input);
     void deliver_request();
     void refuse_request(request_error error);
     void finish_after_pending();
@@ -135,6 +137,10 @@
     /// Part of a request has arrived, but not all of it.
     bool receiving_ = false;
     bool was_in_body_ = false;
+    /// Input is being taken; responses wait until that is done.
+    bool reading_ = false;
+    /// The request that is being received is the last one that is read.
+    bool reading_last_ = false;
     /// The caller has closed its sending side and may still read.
     bool input_ended_ = false;
     std::size_t unsent_bytes_ = 0;
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -176,6 +176,20 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
+    // Responses are written afterwards, so that one that closes the connection does not end
+    // requests that have arrived with its own.
+    reading_ = true;
+    take_requests(input);
+    reading_ = false;
+    if (hooks_.closing())
+    {
+        begin_drain();
+    }
+    write_ready_responses();
+}
+
+void caller_connection::take_requests(evbuffer* input)
+{
     while (phase_ == phase::open && responses_.size() < max_pipelined_requests)
     {
         const read_state state = reader_.read(input, hooks_.limits());
@@ -216,7 +230,7 @@
     last_progress_ = timers_.now();
     caller_request request = reader_.take();
     request.address = address_;
-    const bool last = !reader_.keeps_connection() || hooks_.closing();
+    const bool last = !reader_.keeps_connection() || reading_last_;
     if (last)
     {
         stop_reading_requests();
@@ -231,7 +245,15 @@
 {
     // Without this a caller that always has a request outstanding would never see a response that
     // closes its connection.
-    if (phase_ == phase::open && !responses_.empty() && !receiving_)
+    if (phase_ != phase::open || responses_.empty())
+    {
+        return;
+    }
+    if (receiving_)
+    {
+        reading_last_ = true;
+    }
+    else
     {
         finish_after_pending();
     }
@@ -277,6 +299,10 @@
 
 void caller_connection::write_ready_responses()
 {
+    if (reading_)
+    {
+        return;
+    }
     while (!responses_.empty() && responses_.front().response)
     {
         pending_response due = std::move(responses_.front());
--- a/packages/entry/tests/http/planned_stop_test.cpp
+++ b/packages/entry/tests/http/planned_stop_test.cpp
@@ -187,6 +187,11 @@
         {
             const std::string method = turn % 2 == 0 ? "POST" : "GET";
             const core::duration deadline = deadlines[turn / 2 % deadlines.size()];
+            if (kind == caller_kind::pipelined && kept[turn % kept.size()]->ended)
+            {
+                // Callers go on with a new connection once theirs has been closed.
+                kept[turn % kept.size()] = &fixture.connect();
+            }
             raw_caller* caller =
                 kind == caller_kind::new_connection ? &fixture.connect() : kept[turn % kept.size()];
             ++turn;
