Planned stop: input after the end of the process no longer destroys answers

A socket filter now strips the payload of what arrives on such a connection, so that its acknowledgements still count and the kernel delivers the rest.

stop_callers_test "answers survive a caller that sends on and reads once the process has ended" failed before (without the filter, both rows).

--- a/packages/entry/include/catkintally/entry/http/socket_state.hpp
+++ b/packages/entry/include/catkintally/entry/http/socket_state.hpp
@@ -40,8 +40,9 @@
 /// delivers what is in the buffer even after the process has ended.
 void reserve_send_buffer(int socket, std::size_t bytes);
 
-/// Removes what is in the receive queue, up to a bound. Closing a socket with unread input resets
-/// the connection.
-void discard_input(int socket);
+/// Removes what is in the receive queue, up to a bound, and makes the kernel strip the payload of
+/// what still arrives. Unread input at the close, and input after it, would reset the connection
+/// and drop the output that the kernel has not delivered yet. For a socket that is closed next.
+void ignore_input(int socket);
 
 } // namespace catkintally::entry
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -68,9 +68,11 @@
 {
     timers_.cancel(end_timer_);
     timers_.cancel(gone_timer_);
-    if (phase_ == phase::finishing || phase_ == phase::lingering)
+    const int socket = bufferevent_getfd(stream_);
+    if (phase_ != phase::ended && unacknowledged_bytes(socket).value_or(0) > 0)
     {
-        discard_input(bufferevent_getfd(stream_));
+        // The process ends before the caller has read its answer.
+        ignore_input(socket);
     }
     bufferevent_free(stream_);
 }
--- a/packages/entry/src/http/socket_state.cpp
+++ b/packages/entry/src/http/socket_state.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 
+#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <poll.h>
 #include <sys/ioctl.h>
@@ -69,8 +70,12 @@
     }
 }
 
-void discard_input(int socket)
+void ignore_input(int socket)
 {
+    // A filter that keeps one byte of each segment leaves its header, and so its acknowledgement.
+    sock_filter keep_header = BPF_STMT(BPF_RET | BPF_K, 1);
+    const sock_fprog program{.len = 1, .filter = &keep_header};
+    setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
     std::array<char, 16'384> chunk{};
     for (int round = 0; round < max_discard_rounds; ++round)
     {
--- a/packages/entry/tests/http/stop_callers_test.cpp
+++ b/packages/entry/tests/http/stop_callers_test.cpp
@@ -164,6 +164,38 @@
     CHECK(stream.caller.told_to_close);
 }
 
+// Guards against an answer that is in the kernel's send buffer when the process ends, and is dropped
+// because the caller sends another request before it reads.
+TEST_CASE("answers survive a caller that sends on and reads once the process has ended")
+{
+    const std::size_t body = GENERATE(40'000U, 280'000U);
+    INFO("body " << body);
+    virtual_instance fixture({.grace = 6s});
+    fixture.next_work = {.time = 50ms, .body_bytes = body};
+    stream_of_requests stream(fixture, small_buffer);
+    stream.send("GET", 5s);
+    fixture.run_for(10ms);
+    const auto begin = fixture.timers.now();
+    fixture.stop();
+    while (fixture.self && fixture.timers.now() - begin < fixture.plan.grace)
+    {
+        fixture.run_for(10ms);
+        stream.send();
+    }
+    REQUIRE_FALSE(fixture.self);
+    fixture.run_for(10ms);
+    for (int sent = 0; sent < 10; ++sent)
+    {
+        stream.send();
+        fixture.run_for(1ms);
+    }
+    fixture.read_all(stream.caller, 1);
+    INFO("read " << stream.caller.bytes_read << " bytes, end " << name_of(stream.caller.end));
+    CHECK(fixture.run.size() == 1);
+    stream.ids.resize(1);
+    fixture.check_answers(stream.caller, stream.ids);
+}
+
 // Guards against answers that are lost by a reset because the caller has sent more requests than
 // the instance reads from one connection at a time.
 TEST_CASE("answers survive requests beyond the pipeline limit in a planned stop")
