A request at a silent target keeps its chance of that target's answer

What callers saw: a 502 `target_lost` of the instance's own, or 502 `stopping` around SIGTERM, for an idempotent request at which its target was at work.

If no other attempt was possible (max-attempts, retry budget, no other target, a stop whose end comes before the deadline) or the other attempt failed, the caller got a failure in place of the answer that was on its way. A stop that began while the second attempt waited for admission did the same.

Now silence only makes the exchange try another target as well. The first attempt goes on until a response has come from either; it is watched again while no other attempt is possible, so that a dead target still leads to one as soon as the budget allows it. A target that reports that it does not have the request, a connection that breaks off, the deadline and the end of the grace end attempts as before. A withdrawn second attempt returns its token of the retry budget.

--- /dev/null
+++ b/packages/core/include/catkintally/core/admission/loss_cause.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+namespace catkintally::core
+{
+
+/// Why a request is considered lost.
+enum class loss_cause : std::uint8_t
+{
+    /// The target answers no health check and no new connection to it can be established.
+    target_silent,
+    /// A target of another name answers at the address.
+    target_replaced,
+    /// The target reports fewer requests than this instance has in flight there.
+    not_at_target
+};
+
+/// Name of a cause in log events.
+[[nodiscard]] const char* loss_cause_name(loss_cause cause);
+
+} // namespace catkintally::core
--- a/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
+++ b/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/admission/admission_request.hpp>
+#include <catkintally/core/admission/loss_cause.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/time/timer_service.hpp>
 
@@ -17,20 +18,6 @@
 /// Service name and target name.
 using target_key = std::pair<std::string, std::string>;
 
-/// Why a request is considered lost.
-enum class loss_cause : std::uint8_t
-{
-    /// The target answers no health check and no new connection to it can be established.
-    target_silent,
-    /// A target of another name answers at the address.
-    target_replaced,
-    /// The target reports fewer requests than this instance has in flight there.
-    not_at_target
-};
-
-/// Name of a cause in log events.
-[[nodiscard]] const char* loss_cause_name(loss_cause cause);
-
 /// Fixed inputs of a lost_request_detector.
 struct lost_request_detector_options
 {
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -197,7 +197,7 @@
         std::string trace_id;
         std::uint64_t fingerprint = 0;
         /// Called if the target has lost the request; may be empty.
-        std::function<void()> on_lost;
+        std::function<void(loss_cause)> on_lost;
     };
 
     void ask(admission_request request, admission_callback answer);
@@ -230,7 +230,7 @@
     [[nodiscard]] const probe_attempt* find_best(pending_admission& admission);
     void finish(request_id id, decision_code code, const target_row* target, duration retry_after);
     [[nodiscard]] bool may_send(request_id id);
-    void watch(request_id id, std::function<void()> on_lost);
+    void watch(request_id id, std::function<void(loss_cause)> on_lost);
     void check_target(const target_key& key, std::function<void(probe_report)> done);
     void try_connect_target(const target_key& key, std::function<void(bool)> completed);
     void confirm_crash(const grant& completed);
--- a/packages/core/include/catkintally/core/fleet/admission_gateway.hpp
+++ b/packages/core/include/catkintally/core/fleet/admission_gateway.hpp
@@ -2,6 +2,7 @@
 
 #include <catkintally/core/admission/admission_decision.hpp>
 #include <catkintally/core/admission/completion_report.hpp>
+#include <catkintally/core/admission/loss_cause.hpp>
 
 #include <functional>
 #include <memory>
@@ -59,8 +60,9 @@
     /// draining or out, and this instance's view of the fleet is fresh.
     std::function<bool(request_id)> may_send;
     /// Asks to be told, at most once and never inline, if the target turns out to have lost the
-    /// granted request, which was just sent. Empty where nothing looks for lost requests.
-    std::function<void(request_id, std::function<void()>)> watch{};
+    /// granted request, which was sent. May be called again after the callback. Empty where nothing
+    /// looks for lost requests.
+    std::function<void(request_id, std::function<void(loss_cause)>)> watch{};
     /// Reports the end of a granted request. `answer` is set for a keyed request that was answered.
     std::function<void(completion_report, std::shared_ptr<const stored_answer>)> complete;
 };
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -92,11 +92,15 @@
             {
                 options_.timers->cancel(found->second.timer);
                 stop_waiting_for_token(found->second);
+                if (found->second.request.retry)
+                {
+                    retry_budgets_[found->second.request.service].refund();
+                }
                 pending_admissions_.erase(found);
             }
         },
         .may_send = [this](request_id id) { return may_send(id); },
-        .watch = [this](request_id id, std::function<void()> on_lost)
+        .watch = [this](request_id id, std::function<void(loss_cause)> on_lost)
         { watch(id, std::move(on_lost)); },
         .complete =
             [this](const completion_report& report, const std::shared_ptr<const stored_answer>&)
--- a/packages/core/src/admission/probing_gateway_losses.cpp
+++ b/packages/core/src/admission/probing_gateway_losses.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void probing_gateway::watch(request_id id, std::function<void()> on_lost)
+void probing_gateway::watch(request_id id, std::function<void(loss_cause)> on_lost)
 {
     grant& watched = grants_.at(id);
     watched.on_lost = std::move(on_lost);
@@ -111,7 +111,7 @@
     }
     if (const auto on_lost = found->second.on_lost)
     {
-        on_lost();
+        on_lost(cause);
     }
 }
 
--- a/packages/core/tests/admission/probing_gateway_losses_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_losses_test.cpp
@@ -22,7 +22,7 @@
     fixture.objective = each.objective;
     const std::string target = fixture.decide(1).target;
     int lost = 0;
-    fixture.gateway.watch(1, [&] { ++lost; });
+    fixture.gateway.watch(1, [&](loss_cause) { ++lost; });
     fixture.reports.erase(target);
     fixture.timers.advance(each.reported_within - 2ms);
     CHECK(lost == 0);
@@ -39,7 +39,7 @@
     probing_fixture fixture(2);
     const std::string target = fixture.decide(1).target;
     int lost = 0;
-    fixture.gateway.watch(1, [&] { ++lost; });
+    fixture.gateway.watch(1, [&](loss_cause) { ++lost; });
     fixture.complete(1, completion_outcome::answered);
     fixture.reports.erase(target);
     fixture.timers.advance(2s);
--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -25,6 +25,8 @@
     std::string deadline_header;
     /// Time until the process is killed; empty if that is not known.
     std::function<core::duration()> time_to_end{};
+    /// Id for the grant of an attempt that starts while another one is running.
+    std::function<core::request_id()> next_grant_id;
 };
 
 /// One request with the settings of its route and service.
@@ -59,7 +61,8 @@
 
 /// Handles one caller's request from admission to the response: requests a grant from the fleet,
 /// sends the request to the granted target, and decides after each failure whether to retry. A
-/// request is retried only if it is idempotent or proven not to have been executed.
+/// request is retried only if it is idempotent or proven not to have been executed. While a target
+/// is silent, an idempotent request is sent to another one as well, and the first response counts.
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
@@ -81,18 +84,40 @@
     void end_now();
 
 private:
+    /// An attempt whose target may still respond.
+    struct running_attempt
+    {
+        core::request_id grant = 0;
+        dispatch_id dispatch = 0;
+        std::string target;
+        std::string address;
+        /// The target does not react, so another one is tried as well.
+        bool silent = false;
+    };
+
     void request_admission(bool retry);
     void on_admission_answer(const core::admission_answer& answer);
+    void withdraw_admission();
     void dispatch(const core::admission_answer& answer);
+    void watch(core::request_id grant);
+    /// Waits for the running attempts, since no other one is possible now.
+    void wait_for_targets();
+    /// Removes an attempt that has ended or is to be given up.
+    running_attempt take_attempt(core::request_id grant);
+    void abandon(const running_attempt& attempt, core::completion_outcome outcome_if_sent);
     void on_grant_lapsed();
-    void on_dispatch_end(const dispatch_end& end);
-    void on_target_lost();
-    void on_answer_lost(const dispatch_end& end, const std::string& reason);
+    void on_dispatch_end(core::request_id grant, const dispatch_end& end);
+    void on_target_lost(core::request_id grant, core::loss_cause cause);
+    void on_answer_lost(
+        const running_attempt& attempt, const dispatch_end& end, const std::string& reason);
     void on_deadline();
     void on_caller_disconnect();
+    [[nodiscard]] bool may_retry() const;
+    void exclude(const std::string& target);
     void retry_or_respond(const refusal& fallback);
     void respond_without_retry(const refusal& fallback);
     void report_completion(
+        const running_attempt& attempt,
         core::completion_outcome outcome,
         const dispatch_end& end,
         std::shared_ptr<const core::stored_answer> stored = nullptr);
@@ -119,9 +144,8 @@
     /// An earlier attempt may have been executed.
     bool may_have_run_ = false;
     std::uint32_t lapsed_grants_ = 0;
-    dispatch_id dispatch_ = 0;
-    std::string target_;
-    std::string address_;
+    /// Usually one; further ones only besides those whose target is silent.
+    std::vector<running_attempt> running_;
     /// A target refused the request without executing it.
     bool target_refused_ = false;
     /// Retry-After of those refusals, the longest one.
--- a/packages/entry/include/catkintally/entry/http/request_handler.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_handler.hpp
@@ -70,6 +70,7 @@
 
     void refuse(pending_request& call, request_error error);
     void refuse_not_ready(pending_request& call);
+    [[nodiscard]] core::request_id next_id();
     [[nodiscard]] const core::service_config* choose_service(const core::route_row& route);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> current_exchanges() const;
     void start_exchange(pending_request& call, const exchange_plan& plan, const std::string& route);
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -24,9 +24,10 @@
 /// Retry-After of an instance that stops. Others are ready.
 constexpr auto stopping_retry_after = std::chrono::milliseconds(100);
 
-bool contains(const std::vector<std::uint16_t>& statuses, std::uint16_t status)
+template <class Value>
+bool contains(const std::vector<Value>& values, const Value& value)
 {
-    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+    return std::find(values.begin(), values.end(), value) != values.end();
 }
 
 bool says_leaving(const core::target_dialect& dialect, const core::stored_answer& answer)
@@ -110,7 +111,8 @@
 {
     if (awaiting_admission_ && may_outlast_process())
     {
-        end_without_answer(stopping_refusal());
+        withdraw_admission();
+        respond_without_retry(stopping_refusal());
     }
 }
 
@@ -136,6 +138,10 @@
         respond_without_retry(stopping_refusal());
         return;
     }
+    if (!running_.empty())
+    {
+        plan_.request.id = context_.next_grant_id();
+    }
     awaiting_admission_ = true;
     plan_.request.retry = retry;
     plan_.request.deadline_left = time_left();
@@ -153,6 +159,14 @@
         });
 }
 
+void exchange::withdraw_admission()
+{
+    if (std::exchange(awaiting_admission_, false))
+    {
+        context_.gateway->cancel(plan_.request.id);
+    }
+}
+
 void exchange::on_admission_answer(const core::admission_answer& answer)
 {
     assert(awaiting_admission_);
@@ -173,25 +187,27 @@
 
 void exchange::dispatch(const core::admission_answer& answer)
 {
-    target_ = answer.target;
-    address_ = answer.address;
+    const core::request_id grant = plan_.request.id;
+    running_attempt next{.grant = grant, .target = answer.target, .address = answer.address};
+    summary_.target = next.target;
     if (time_left() < std::chrono::milliseconds(1))
     {
         // Less than 1 ms is left, so the deadline timer is due.
-        report_completion(core::completion_outcome::not_run, {});
-        refuse({.status = 504, .claim = execution_claim(), .reason = "deadline_expired"});
+        report_completion(next, core::completion_outcome::not_run, {});
+        end_without_answer(
+            {.status = 504, .claim = execution_claim(), .reason = "deadline_expired"});
         return;
     }
     if (may_outlast_process())
     {
-        report_completion(core::completion_outcome::not_run, {});
+        report_completion(next, core::completion_outcome::not_run, {});
         respond_without_retry(stopping_refusal());
         return;
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left());
     const caller_request& request = pending_request_->request();
     ++summary_.attempts;
-    dispatch_ = context_.pool->dispatch(
+    next.dispatch = context_.pool->dispatch(
         answer.address,
         target_request{
             .method = request.method,
@@ -202,7 +218,7 @@
                                  .request_id_header = context_.dialect->request_id_header,
                                  .request_id = plan_.request_id,
                                  .expected_target_header = context_.dialect->expected_target_header,
-                                 .expected_target = target_,
+                                 .expected_target = answer.target,
                                  .caller_address = request.address}),
             .body = request.body,
             .expected_echo =
@@ -211,41 +227,97 @@
                     .value = plan_.request_id,
                     .always = context_.dialect->responses_carry_request_id},
             // The fleet marks the grant as used by this call, so it is made once for each grant.
-            .may_send = [gateway = context_.gateway, id = plan_.request.id]
-            { return gateway->may_send(id); }},
-        [weak = weak_from_this()](const dispatch_end& end)
+            .may_send = [gateway = context_.gateway, grant] { return gateway->may_send(grant); }},
+        [weak = weak_from_this(), grant](const dispatch_end& end)
         {
             if (const auto self = weak.lock())
             {
-                self->on_dispatch_end(end);
+                self->on_dispatch_end(grant, end);
             }
         });
+    running_.push_back(std::move(next));
+    watch(grant);
+}
+
+void exchange::watch(core::request_id grant)
+{
     if (context_.gateway->watch)
     {
         context_.gateway->watch(
-            plan_.request.id,
-            [weak = weak_from_this()]
+            grant,
+            [weak = weak_from_this(), grant](core::loss_cause cause)
             {
                 if (const auto self = weak.lock())
                 {
-                    self->on_target_lost();
+                    self->on_target_lost(grant, cause);
                 }
             });
     }
 }
 
-void exchange::on_target_lost()
+void exchange::wait_for_targets()
 {
-    const bool sent = context_.pool->is_sent(dispatch_);
-    if (dispatch_ == 0 || (sent && !plan_.request.idempotent))
+    for (running_attempt& each : running_)
     {
-        // A request that is not idempotent waits, since the target may still respond.
-        return;
+        if (std::exchange(each.silent, false))
+        {
+            watch(each.grant);
+        }
     }
-    context_.pool->abandon(std::exchange(dispatch_, 0));
+}
+
+exchange::running_attempt exchange::take_attempt(core::request_id grant)
+{
+    const auto found = std::find_if(
+        running_.begin(), running_.end(),
+        [grant](const running_attempt& each) { return each.grant == grant; });
+    assert(found != running_.end());
+    running_attempt taken = std::move(*found);
+    running_.erase(found);
+    return taken;
+}
+
+void exchange::abandon(const running_attempt& attempt, core::completion_outcome outcome_if_sent)
+{
+    const bool sent = context_.pool->is_sent(attempt.dispatch);
+    context_.pool->abandon(attempt.dispatch);
     may_have_run_ = may_have_run_ || sent;
     report_completion(
-        sent ? core::completion_outcome::connection_lost : core::completion_outcome::not_run, {});
+        attempt, sent ? outcome_if_sent : core::completion_outcome::not_run,
+        {.answer = {},
+         .service_time = outcome_if_sent == core::completion_outcome::timed_out
+                             ? plan_.deadline
+                             : core::duration::zero(),
+         .detail = {}});
+}
+
+void exchange::on_target_lost(core::request_id grant, core::loss_cause cause)
+{
+    const auto found = std::find_if(
+        running_.begin(), running_.end(),
+        [grant](const running_attempt& each) { return each.grant == grant; });
+    const bool sent = found != running_.end() && context_.pool->is_sent(found->dispatch);
+    if (found == running_.end() || (sent && !plan_.request.idempotent))
+    {
+        // A request that is not idempotent waits, since the target may still respond.
+        return;
+    }
+    exclude(found->target);
+    if (sent && cause == core::loss_cause::target_silent)
+    {
+        // The target, or the path to it, may only have paused.
+        found->silent = true;
+        if (may_retry())
+        {
+            request_admission(true);
+        }
+        else if (!awaiting_admission_)
+        {
+            wait_for_targets();
+        }
+        return;
+    }
+    abandon(take_attempt(grant), core::completion_outcome::connection_lost);
     retry_or_respond(
         {.status = static_cast<std::uint16_t>(sent ? 502 : 503),
          .claim = execution_claim(),
@@ -255,26 +327,40 @@
 
 void exchange::on_grant_lapsed()
 {
-    report_completion(core::completion_outcome::not_run, {});
     if (++lapsed_grants_ >= max_lapsed_grants || caller_gone_)
     {
-        refuse(
-            {.status = 503,
-             .claim = execution_claim(),
-             .reason = "grant_lapsed",
-             .retry_after = std::chrono::seconds(1)});
+        if (running_.empty())
+        {
+            refuse(
+                {.status = 503,
+                 .claim = execution_claim(),
+                 .reason = "grant_lapsed",
+                 .retry_after = std::chrono::seconds(1)});
+        }
+        else
+        {
+            wait_for_targets();
+        }
         return;
     }
-    request_admission(plan_.request.retry);
+    if (!awaiting_admission_)
+    {
+        request_admission(plan_.request.retry);
+    }
 }
 
-void exchange::on_dispatch_end(const dispatch_end& end)
+void exchange::on_dispatch_end(core::request_id grant, const dispatch_end& end)
 {
-    dispatch_ = 0;
+    const running_attempt ended = take_attempt(grant);
+    summary_.target = ended.target;
+    if (end.result != dispatch_result::send_refused)
+    {
+        exclude(ended.target);
+    }
     switch (end.result)
     {
     case dispatch_result::not_sent:
-        report_completion(core::completion_outcome::not_run, end);
+        report_completion(ended, core::completion_outcome::not_run, end);
         retry_or_respond(
             {.status = 503,
              .claim = execution_claim(),
@@ -283,10 +369,11 @@
         return;
     case dispatch_result::send_refused:
         --summary_.attempts;
+        report_completion(ended, core::completion_outcome::not_run, {});
         on_grant_lapsed();
         return;
     case dispatch_result::lost:
-        on_answer_lost(end, "connection_lost");
+        on_answer_lost(ended, end, "connection_lost");
         return;
     case dispatch_result::answered:
         break;
@@ -298,11 +385,11 @@
         if (end.has_surplus)
         {
             // The refusal may be an earlier one, and what follows the answer to this request.
-            on_answer_lost(end, "contradictory_answers");
+            on_answer_lost(ended, end, "contradictory_answers");
             return;
         }
-        context_.pool->note_refusal(address_, plan_.request_id);
-        report_completion(core::completion_outcome::not_run, end);
+        context_.pool->note_refusal(ended.address, plan_.request_id);
+        report_completion(ended, core::completion_outcome::not_run, end);
         target_refused_ = true;
         target_retry_after_ = std::max(
             target_retry_after_,
@@ -313,6 +400,7 @@
     summary_.target_time = end.service_time;
     const bool failed = end.answer->status >= 500;
     report_completion(
+        ended,
         failed ? core::completion_outcome::answered_error : core::completion_outcome::answered, end,
         plan_.request.key.empty() ? nullptr : copy_of(*end.answer));
     if (failed && plan_.request.idempotent)
@@ -325,10 +413,11 @@
     forward_response(*end.answer, body_of(end.answer), nullptr);
 }
 
-void exchange::on_answer_lost(const dispatch_end& end, const std::string& reason)
+void exchange::on_answer_lost(
+    const running_attempt& attempt, const dispatch_end& end, const std::string& reason)
 {
     may_have_run_ = true;
-    report_completion(core::completion_outcome::connection_lost, end);
+    report_completion(attempt, core::completion_outcome::connection_lost, end);
     const refusal lost{.status = 502, .claim = execution_claim(), .reason = reason};
     if (plan_.request.idempotent)
     {
@@ -340,18 +429,38 @@
 
 void exchange::retry_or_respond(const refusal& fallback)
 {
-    if (!caller_gone_ && summary_.attempts < plan_.max_attempts &&
-        time_left() > core::duration::zero())
+    if (may_retry())
     {
-        plan_.request.excluded_targets.push_back(target_);
         request_admission(true);
-        return;
     }
-    respond_without_retry(fallback);
+    else if (!awaiting_admission_)
+    {
+        respond_without_retry(fallback);
+    }
+}
+
+bool exchange::may_retry() const
+{
+    return !awaiting_admission_ && !caller_gone_ && summary_.attempts < plan_.max_attempts &&
+           time_left() > core::duration::zero();
+}
+
+void exchange::exclude(const std::string& target)
+{
+    auto& excluded = plan_.request.excluded_targets;
+    if (!contains(excluded, target))
+    {
+        excluded.push_back(target);
+    }
 }
 
 void exchange::respond_without_retry(const refusal& fallback)
 {
+    if (!running_.empty())
+    {
+        wait_for_targets();
+        return;
+    }
     if (failed_answer_)
     {
         forward_response(*failed_answer_, body_of(failed_answer_), nullptr);
@@ -378,19 +487,10 @@
 
 void exchange::end_without_answer(const refusal& fallback)
 {
-    if (awaiting_admission_)
-    {
-        awaiting_admission_ = false;
-        context_.gateway->cancel(plan_.request.id);
-    }
-    else if (dispatch_ != 0)
+    withdraw_admission();
+    for (const running_attempt& each : std::exchange(running_, {}))
     {
-        const bool sent = context_.pool->is_sent(dispatch_);
-        context_.pool->abandon(std::exchange(dispatch_, 0));
-        may_have_run_ = may_have_run_ || sent;
-        report_completion(
-            sent ? core::completion_outcome::timed_out : core::completion_outcome::not_run,
-            {.answer = {}, .service_time = plan_.deadline, .detail = {}});
+        abandon(each, core::completion_outcome::timed_out);
     }
     // A response with status 500 or above is still delivered if a retry was in progress.
     refusal ended = fallback;
@@ -401,37 +501,33 @@
 void exchange::on_caller_disconnect()
 {
     caller_gone_ = true;
-    if (awaiting_admission_)
+    withdraw_admission();
+    const bool executing = std::any_of(
+        running_.begin(), running_.end(),
+        [this](const running_attempt& each) { return context_.pool->is_sent(each.dispatch); });
+    if (executing && !plan_.request.idempotent)
     {
-        awaiting_admission_ = false;
-        context_.gateway->cancel(plan_.request.id);
+        // The target may be executing it. Its completion is still reported, and the response to a
+        // request with an idempotency key is still stored.
+        return;
     }
-    else
+    for (const running_attempt& each : std::exchange(running_, {}))
     {
-        const bool sent = context_.pool->is_sent(dispatch_);
-        if (sent && !plan_.request.idempotent)
-        {
-            // The target may be executing it. Its completion is still reported, and the response to
-            // a request with an idempotency key is still stored.
-            return;
-        }
-        context_.pool->abandon(std::exchange(dispatch_, 0));
-        may_have_run_ = may_have_run_ || sent;
-        report_completion(
-            sent ? core::completion_outcome::cancelled : core::completion_outcome::not_run, {});
+        abandon(each, core::completion_outcome::cancelled);
     }
     refuse({.status = 503, .claim = execution_claim(), .reason = "caller_gone"});
 }
 
 void exchange::report_completion(
+    const running_attempt& attempt,
     core::completion_outcome outcome,
     const dispatch_end& end,
     std::shared_ptr<const core::stored_answer> stored)
 {
     core::completion_report report;
-    report.id = plan_.request.id;
+    report.id = attempt.grant;
     report.service = plan_.request.service;
-    report.target = target_;
+    report.target = attempt.target;
     report.outcome = outcome;
     report.service_time = end.service_time;
     if (end.answer)
@@ -490,9 +586,15 @@
 void exchange::finish(std::uint16_t status, std::string reason, const caller_response& response)
 {
     context_.timers->cancel(std::exchange(deadline_timer_, 0));
+    withdraw_admission();
+    for (const running_attempt& each : std::exchange(running_, {}))
+    {
+        abandon(
+            each, each.silent ? core::completion_outcome::connection_lost
+                              : core::completion_outcome::cancelled);
+    }
     summary_.status = status;
     summary_.reason = std::move(reason);
-    summary_.target = target_;
     summary_.total = context_.timers->now() - started_;
     pending_request* call = std::exchange(pending_request_, nullptr);
     call->reply(response);
--- a/packages/entry/src/http/request_handler.cpp
+++ b/packages/entry/src/http/request_handler.cpp
@@ -104,8 +104,12 @@
 
 std::string request_handler::next_request_id()
 {
-    const auto prefix = static_cast<core::request_id>(options_.id_prefix) << 32U;
-    return format_request_id(prefix | ++next_id_);
+    return format_request_id(next_id());
+}
+
+core::request_id request_handler::next_id()
+{
+    return (static_cast<core::request_id>(options_.id_prefix) << 32U) | ++next_id_;
 }
 
 const core::service_config* request_handler::choose_service(const core::route_row& route)
@@ -206,7 +210,8 @@
         .pool = options_.pool,
         .dialect = &options_.dialect,
         .deadline_header = options_.deadline_header,
-        .time_to_end = options_.time_to_end};
+        .time_to_end = options_.time_to_end,
+        .next_grant_id = [this] { return next_id(); }};
     auto new_exchange = std::make_shared<exchange>(
         context, call, plan,
         [this, id, plan, route](const exchange_summary& summary)
--- a/packages/entry/tests/support/instance_fixture.cpp
+++ b/packages/entry/tests/support/instance_fixture.cpp
@@ -130,7 +130,7 @@
     out.gateway.cancel = [this](core::request_id id) { cancelled.push_back(id); };
     out.gateway.may_send = [this](core::request_id id)
     { return unchecked_requests.erase(id) > 0 && may_send; };
-    out.gateway.watch = [this](core::request_id id, std::function<void()> lost)
+    out.gateway.watch = [this](core::request_id id, std::function<void(core::loss_cause)> lost)
     { loss_callbacks[id] = std::move(lost); };
     out.gateway.complete = [this](core::completion_report report, auto answer)
     { completed.emplace_back(std::move(report), std::move(answer)); };
--- a/packages/entry/tests/support/instance_fixture.hpp
+++ b/packages/entry/tests/support/instance_fixture.hpp
@@ -73,7 +73,7 @@
     std::vector<core::request_id> cancelled;
     /// Callbacks that requests have registered with watch(); calling one reports that the target
     /// has lost the request.
-    std::map<core::request_id, std::function<void()>> loss_callbacks;
+    std::map<core::request_id, std::function<void(core::loss_cause)>> loss_callbacks;
     std::vector<std::pair<core::completion_report, std::shared_ptr<const core::stored_answer>>>
         completed;
     /// False makes every grant lapse. As in the fleet, may_send succeeds only once for a grant.
