Responses that have been read are delivered before late timers count

What callers saw: 504 `deadline_expired` or, at the end of a stop, 502 `stopping`, although the target's whole answer had been read; after a loss report a second run of an idempotent request.

Cause: the target pool hands a response over in the next pass of the loop. In the pass that reads it, timers that became due meanwhile run first: the deadline, the end of the grace and the detection of lost requests. They abandoned the attempt together with its response. On an instance that is held up for most of the time, responses and late timers meet in one pass.

Now an attempt that has ended, and whose result is only to be handed over, is not abandoned; its result decides.

The test pauses the process in virtual time while the response arrives. With target_pool::has_ended returning false, as if the pool did not tell, five of its six cases fail: 504, 502, and a second run after the report of a loss. The sixth is that report for a POST, which waits for its target in any case.

--- a/packages/entry/include/catkintally/entry/targets/target_pool.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_pool.hpp
@@ -42,6 +42,9 @@
     /// is not called. Unknown ids are ignored.
     void abandon(dispatch_id id);
 
+    /// True if the dispatch has ended and its callback is about to be called.
+    [[nodiscard]] bool has_ended(dispatch_id id) const;
+
     /// Notes that a target has refused a request. If it is sent there again, it gets a connection
     /// of its own, on which the target cannot repeat the refusal.
     void note_refusal(const std::string& address, const std::string& request);
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -297,7 +297,8 @@
         running_.begin(), running_.end(),
         [grant](const running_attempt& each) { return each.grant == grant; });
     const bool sent = found != running_.end() && context_.pool->is_sent(found->dispatch);
-    if (found == running_.end() || (sent && !plan_.request.idempotent))
+    if (found == running_.end() || context_.pool->has_ended(found->dispatch) ||
+        (sent && !plan_.request.idempotent))
     {
         // A request that is not idempotent waits, since the target may still respond.
         return;
@@ -488,9 +489,17 @@
 void exchange::end_without_answer(const refusal& fallback)
 {
     withdraw_admission();
-    for (const running_attempt& each : std::exchange(running_, {}))
+    for (const running_attempt& each : std::vector(running_))
     {
-        abandon(each, core::completion_outcome::timed_out);
+        if (!context_.pool->has_ended(each.dispatch))
+        {
+            abandon(take_attempt(each.grant), core::completion_outcome::timed_out);
+        }
+    }
+    if (!running_.empty())
+    {
+        // A response that has been read is delivered.
+        return;
     }
     // A response with status 500 or above is still delivered if a retry was in progress.
     refusal ended = fallback;
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -150,6 +150,12 @@
            found->second.connection->is_sent();
 }
 
+bool target_pool::has_ended(dispatch_id id) const
+{
+    const auto found = active_.find(id);
+    return found != active_.end() && found->second.start_timer != 0;
+}
+
 void target_pool::abandon(dispatch_id id)
 {
     const auto found = active_.find(id);
--- a/packages/entry/tests/http/planned_stop_test.cpp
+++ b/packages/entry/tests/http/planned_stop_test.cpp
@@ -66,6 +66,7 @@
         hooks.gateway.cancel = [](core::request_id) {};
         hooks.gateway.may_send = [](core::request_id) { return true; };
         hooks.gateway.complete = [](const auto&, const auto&) {};
+        hooks.gateway.watch = [this](core::request_id, const auto& lost) { report_loss = lost; };
         self = std::make_unique<instance>(loop, timers, values, std::move(hooks));
         REQUIRE(self->listen());
         port = self->front().port();
@@ -84,10 +85,7 @@
     void step()
     {
         timers.advance(1ms);
-        for (int pass = 0; pass < 8; ++pass)
-        {
-            event_base_loop(loop.base(), EVLOOP_NONBLOCK);
-        }
+        poll();
         collect();
         if (stopped)
         {
@@ -95,6 +93,15 @@
         }
     }
 
+    /// Handles what has arrived on sockets, without any timer.
+    void poll()
+    {
+        for (int pass = 0; pass < 8; ++pass)
+        {
+            event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+        }
+    }
+
     raw_caller& connect()
     {
         callers.push_back(std::make_unique<raw_caller>(loop, port));
@@ -132,6 +139,8 @@
     runtime::event_loop loop;
     core::manual_timer_service timers;
     scripted_target target{loop, {}};
+    /// Reports that the target has lost the latest request.
+    std::function<void(core::loss_cause)> report_loss;
     /// How long admission takes.
     core::duration wait{};
     std::unique_ptr<instance> self;
@@ -261,3 +270,45 @@
     CHECK(fixture.requests.at("r1").outcome == "not-run");
     CHECK(fixture.run.size() == 1);
 }
+
+// Guards against a whole response that is thrown away, and answered with a 502 or 504, because this
+// process was paused: a timer that has become due meanwhile fires before the response is handled.
+TEST_CASE("a response that has been read is delivered although a timer would end its request")
+{
+    enum class late_event
+    {
+        loss,
+        deadline,
+        end_of_grace
+    };
+    const auto each = GENERATE(late_event::loss, late_event::deadline, late_event::end_of_grace);
+    const std::string method = GENERATE("GET", "POST");
+    INFO(method << ", event " << static_cast<int>(each));
+    stop_fixture fixture;
+    fixture.target.script.timers = nullptr;
+    fixture.target.script.hold = true;
+    fixture.send(fixture.connect(), method, each == late_event::deadline ? 500ms : 3s);
+    for (int ms = 0; ms < 20; ++ms)
+    {
+        fixture.step();
+    }
+    REQUIRE(fixture.run.contains("r0"));
+    if (each == late_event::end_of_grace)
+    {
+        fixture.self->stop([&] { fixture.stopped = true; });
+    }
+    fixture.target.release();
+    fixture.timers.pause(each == late_event::loss ? 0ms : 950ms);
+    fixture.poll();
+    if (each == late_event::loss)
+    {
+        fixture.report_loss(core::loss_cause::not_at_target);
+    }
+    for (int ms = 0; ms < 20 && fixture.self; ++ms)
+    {
+        fixture.step();
+    }
+    CHECK(fixture.requests.at("r0").status == 200);
+    CHECK(fixture.requests.at("r0").whole);
+    CHECK(fixture.target.requests == 1);
+}
