A request is missing at its target only if two reports lack it

What callers saw: an idempotent request was taken from a target at work and run again elsewhere, or answered with an own 502 `target_lost`.

Cause: one health check that reported fewer requests than this instance had under way there was enough; the 20 ms until the report of the loss were spent waiting. A target that resumes after a pause may answer the check before it reads the request, and the timer itself fires late on an instance that is held up, before it has read the answer.

Now the target is checked again 20 ms later, and only requests that neither report has a place for are lost. That check takes a round trip of its own, so what was in this process's sockets has been read by its end. A request that a target dropped is found one round trip later than before.

--- a/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
+++ b/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
@@ -61,6 +61,8 @@
         duration interval{};
         timer_id timer = 0;
         bool target_answered = false;
+        /// The target's last report had no place for this request.
+        bool missing = false;
     };
 
     struct pending_check
@@ -84,7 +86,11 @@
     [[nodiscard]] std::vector<request_id>
     arrived_before(const target_key& target, time_point started_at) const;
     void report_lost(const std::vector<request_id>& requests, loss_cause cause);
-    void confirm_missing(const std::vector<request_id>& requests);
+    /// Requests that neither this report of the target nor the previous one has a place for.
+    [[nodiscard]] std::vector<request_id> missing_twice(
+        const target_key& target, const load_report& load, const std::vector<request_id>& requests);
+    /// Checks the target once more, since its report may have crossed the request or its answer.
+    void schedule_confirmation(const target_key& target);
 
     lost_request_detector_options options_;
     std::map<request_id, watched_request> watched_;
--- a/packages/core/src/admission/lost_request_detector.cpp
+++ b/packages/core/src/admission/lost_request_detector.cpp
@@ -15,7 +15,9 @@
 /// answers the check.
 constexpr duration arrival_time = milliseconds(20);
 
-/// An answer that the target sent before it answered the check arrives within this time.
+/// Time after which a target is checked again if it reports too few requests. An answer that the
+/// target sent before the first check arrives by then, and a target that was paused reads what had
+/// arrived meanwhile.
 constexpr duration confirmation_time = milliseconds(20);
 
 /// Consecutive checks without an answer after which a target is considered silent: one health
@@ -193,29 +195,50 @@
     {
         watched_.at(id).target_answered = true;
     }
-    if (!report.load)
+    const std::vector<request_id> missing =
+        report.load ? missing_twice(target, *report.load, requests) : std::vector<request_id>();
+    report_lost(missing, loss_cause::not_at_target);
+}
+
+std::vector<request_id> lost_request_detector::missing_twice(
+    const target_key& target, const load_report& load, const std::vector<request_id>& requests)
+{
+    const std::size_t at_target = std::size_t{load.running} + load.queued;
+    const std::size_t missing = requests.size() - std::min(at_target, requests.size());
+    // A dropped request stays on the list while later ones are answered, so the oldest requests are
+    // the missing ones.
+    std::vector<request_id> lost;
+    bool confirm = false;
+    for (std::size_t index = 0; index < requests.size(); ++index)
     {
-        return;
+        watched_request& request = watched_.at(requests[index]);
+        const bool was_missing = std::exchange(request.missing, index < missing);
+        if (request.missing && was_missing)
+        {
+            lost.push_back(requests[index]);
+        }
+        confirm = confirm || (request.missing && !was_missing);
     }
-    const std::size_t at_target = std::size_t{report.load->running} + report.load->queued;
-    if (at_target < requests.size())
+    if (confirm)
     {
-        // A dropped request stays on the list while later ones are answered, so the oldest requests
-        // are the missing ones.
-        requests.resize(requests.size() - at_target);
-        confirm_missing(requests);
+        schedule_confirmation(target);
     }
+    return lost;
 }
 
-void lost_request_detector::confirm_missing(const std::vector<request_id>& requests)
+void lost_request_detector::schedule_confirmation(const target_key& target)
 {
     options_.timers->schedule_after(
         confirmation_time,
-        [this, requests, alive = std::weak_ptr(alive_)]
+        [this, target, alive = std::weak_ptr(alive_)]
         {
-            if (!alive.expired())
+            if (!alive.expired() && !checks_.contains(target) &&
+                std::any_of(
+                    watched_.begin(), watched_.end(),
+                    [&](const auto& each)
+                    { return each.second.target == target && each.second.missing; }))
             {
-                report_lost(requests, loss_cause::not_at_target);
+                start_check(target, 0);
             }
         });
 }
--- a/packages/core/tests/admission/lost_request_detector_test.cpp
+++ b/packages/core/tests/admission/lost_request_detector_test.cpp
@@ -199,6 +199,41 @@
     CHECK(fixture.on_lost.empty());
 }
 
+// Guards against a request that is taken from a target at work, and repeated or failed, because one
+// report of the target had no place for it: the target answered the check before it read the
+// request, or its answer was still unread in this process.
+TEST_CASE("a request that only one report lacks is not lost")
+{
+    struct row
+    {
+        const char* name;
+        std::uint32_t next_report;
+        duration pause;
+        bool answered;
+        bool lost;
+    };
+    const auto each = GENERATE(
+        row{"the next report has it", 1, 0ms, false, false},
+        row{"its answer is read after a pause", 0, 100ms, true, false},
+        row{"the next report has it after a pause", 1, 100ms, false, false},
+        row{"the next report lacks it, too", 0, 0ms, false, true},
+        row{"the next report after a pause lacks it, too", 0, 100ms, false, true});
+    INFO(each.name);
+    detector_fixture fixture;
+    fixture.report(target_t0, 0);
+    fixture.detector->add_request(1, target_t0, 80ms);
+    fixture.timers.advance(90ms);
+    REQUIRE(fixture.checks == 1);
+    fixture.report(target_t0, each.next_report);
+    fixture.timers.pause(each.pause);
+    if (each.answered)
+    {
+        fixture.timers.schedule_after(0ms, [&] { fixture.detector->remove_request(1); });
+    }
+    fixture.timers.advance(600ms);
+    CHECK(fixture.on_lost.contains(1) == each.lost);
+}
+
 // Guards against requests that wait for a target that was replaced at its address.
 TEST_CASE("requests are lost when another target answers at the address")
 {
