Requests count as sent to a target from their first byte on

What callers saw: an idempotent request that had just reached its target was taken from it, and run again elsewhere or answered with an own 502.

Cause: the detector of lost requests took the time of the dispatch for the time of sending. While the connection is established, up to a second, the request counted as arrived. If it was sent just before the target answered the check of an overdue request, the report could not have it, and the request was given up at work.

Now may_send, which is called directly before the first byte, tells the detector.

The test failed before for requests that were sent 80 to 100 ms after the dispatch, with the check at 80 ms.

--- a/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
+++ b/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
@@ -49,6 +49,10 @@
     /// `check_delay`, further ones at growing intervals.
     void add_request(request_id id, const target_key& target, duration check_delay);
 
+    /// The first byte of a watched request is sent now, on a connection that was established after
+    /// add_request().
+    void note_sent(request_id id);
+
     /// Stops watching a request that ended. True if its target has answered a check in the
     /// meantime, so that the time the request took is no sign of a dead target.
     bool remove_request(request_id id);
--- a/packages/core/src/admission/lost_request_detector.cpp
+++ b/packages/core/src/admission/lost_request_detector.cpp
@@ -77,6 +77,16 @@
     added.timer = options_.timers->schedule_after(check_delay, [this, id] { on_check_due(id); });
 }
 
+void lost_request_detector::note_sent(request_id id)
+{
+    const auto found = watched_.find(id);
+    if (found != watched_.end())
+    {
+        found->second.sent_at = options_.timers->now();
+        found->second.missing = false;
+    }
+}
+
 bool lost_request_detector::remove_request(request_id id)
 {
     const auto found = watched_.extract(id);
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -508,7 +508,12 @@
         return false;
     }
     const target_row* target = find_row(found->second.target);
-    return target != nullptr && takes_requests(found->second.target.first, *target);
+    if (target == nullptr || !takes_requests(found->second.target.first, *target))
+    {
+        return false;
+    }
+    lost_request_detector_.note_sent(id);
+    return true;
 }
 
 void probing_gateway::complete(const completion_report& report)
--- a/packages/core/tests/admission/probing_gateway_losses_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_losses_test.cpp
@@ -33,6 +33,25 @@
     CHECK(fixture.decide(2, true).target != target);
 }
 
+// Guards against a request that is taken from a target at work because it was sent only shortly
+// before the target reported its load: establishing the connection took longer than the objective.
+TEST_CASE("a request is missed at a target only some time after its first byte was sent")
+{
+    const auto sent_after = GENERATE(0ms, 60ms, 80ms, 81ms, 90ms, 100ms);
+    INFO("sent after " << sent_after.count() << " ms");
+    probing_fixture fixture(2);
+    fixture.objective = 80ms;
+    const std::string target = fixture.decide(1).target;
+    int lost = 0;
+    fixture.gateway.watch(1, [&](loss_cause) { ++lost; });
+    // The target answers checks at once and has the request 2 ms after it was sent.
+    fixture.timers.schedule_after(sent_after, [&] { CHECK(fixture.gateway.may_send(1)); });
+    fixture.timers.schedule_after(
+        sent_after + 2ms, [&] { fixture.report(target).load->running = 1; });
+    fixture.timers.advance(sent_after + 200ms);
+    CHECK(lost == 0);
+}
+
 // Guards against a request that is still watched after it has ended.
 TEST_CASE("a request that has ended is not reported as lost")
 {
