A target that starts anew does not take its former requests with it

What callers saw: an idempotent request that the former process of a target still finished was given up, and run again elsewhere or answered with an own 502 `target_lost`.

Cause: overdue requests are looked up at the address that the table has now. When the target has started anew under its name, meanwhile, another process answers the check, and it reports none of the requests that the former one still finishes; that was taken as proof that they were dropped.

Now the grant knows which start of the target it was for. The report of a later start counts as target_replaced for earlier requests, which does not accuse the new process, and after target_replaced, as after target_silent, another target is tried while the former one may still respond.

The test covers what else the table can say of a target with a request under way: drains, leaves, moves, its service is removed; these did not report a loss before, either.

--- a/packages/core/include/catkintally/core/admission/loss_cause.hpp
+++ b/packages/core/include/catkintally/core/admission/loss_cause.hpp
@@ -10,7 +10,8 @@
 {
     /// The target answers no health check and no new connection to it can be established.
     target_silent,
-    /// A target of another name answers at the address.
+    /// A target of another name answers at the address, or the target has started anew. The former
+    /// one may still finish its requests.
     target_replaced,
     /// The target reports fewer requests than this instance has in flight there.
     not_at_target
--- a/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
+++ b/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
@@ -53,6 +53,9 @@
     /// add_request().
     void note_sent(request_id id);
 
+    /// The target has started anew since it got this request, so its reports are not about it.
+    void note_restart(request_id id);
+
     /// Stops watching a request that ended. True if its target has answered a check in the
     /// meantime, so that the time the request took is no sign of a dead target.
     bool remove_request(request_id id);
@@ -65,6 +68,8 @@
         duration interval{};
         timer_id timer = 0;
         bool target_answered = false;
+        /// The request was sent to an earlier start of the target.
+        bool before_restart = false;
         /// The target's last report had no place for this request.
         bool missing = false;
     };
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -191,6 +191,7 @@
     struct grant
     {
         target_key target;
+        std::uint64_t incarnation = 0;
         time_point granted_at{};
         /// Time left until the latency objective; zero if there is none or it has passed.
         duration objective_left{};
@@ -234,6 +235,8 @@
     void check_target(const target_key& key, std::function<void(probe_report)> done);
     void try_connect_target(const target_key& key, std::function<void(bool)> completed);
     void confirm_crash(const grant& completed);
+    /// True if the table lists a later start of the target than the one that was granted.
+    [[nodiscard]] bool has_restarted(const grant& granted) const;
     void handle_loss(request_id id, loss_cause cause);
     void complete(const completion_report& report);
     void
--- a/packages/core/src/admission/lost_request_detector.cpp
+++ b/packages/core/src/admission/lost_request_detector.cpp
@@ -87,6 +87,15 @@
     }
 }
 
+void lost_request_detector::note_restart(request_id id)
+{
+    const auto found = watched_.find(id);
+    if (found != watched_.end())
+    {
+        found->second.before_restart = true;
+    }
+}
+
 bool lost_request_detector::remove_request(request_id id)
 {
     const auto found = watched_.extract(id);
@@ -201,12 +210,18 @@
         report_lost(requests, loss_cause::target_replaced);
         return;
     }
+    const auto end = std::stable_partition(
+        requests.begin(), requests.end(),
+        [this](request_id id) { return !watched_.at(id).before_restart; });
+    const std::vector<request_id> before_restart(end, requests.end());
+    requests.erase(end, requests.end());
     for (const request_id id : requests)
     {
         watched_.at(id).target_answered = true;
     }
     const std::vector<request_id> missing =
         report.load ? missing_twice(target, *report.load, requests) : std::vector<request_id>();
+    report_lost(before_restart, loss_cause::target_replaced);
     report_lost(missing, loss_cause::not_at_target);
 }
 
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -136,6 +136,13 @@
         }
     }
     targets_ = std::move(kept);
+    for (const auto& [id, each] : grants_)
+    {
+        if (has_restarted(each))
+        {
+            lost_request_detector_.note_restart(id);
+        }
+    }
     barriers_.remove_unlisted(*table_, now);
     std::erase_if(
         slowdown_windows_,
@@ -446,6 +453,7 @@
         const target_key key(admission.request.service, target->name);
         grants_[id] = {
             .target = key,
+            .incarnation = target->incarnation,
             .granted_at = now,
             .objective_left = admission.request.objective_left,
             .trace_id = admission.request.trace_id,
--- a/packages/core/src/admission/probing_gateway_losses.cpp
+++ b/packages/core/src/admission/probing_gateway_losses.cpp
@@ -23,6 +23,17 @@
     lost_request_detector_.add_request(
         id, watched.target,
         watched.objective_left > duration::zero() ? watched.objective_left : default_check_delay);
+    if (has_restarted(watched))
+    {
+        lost_request_detector_.note_restart(id);
+    }
+}
+
+bool probing_gateway::has_restarted(const grant& granted) const
+{
+    const target_row* target = find_row(granted.target);
+    return target != nullptr && target->incarnation != 0 && granted.incarnation != 0 &&
+           target->incarnation != granted.incarnation;
 }
 
 void probing_gateway::check_target(const target_key& key, std::function<void(probe_report)> done)
@@ -102,7 +113,7 @@
     {
         options_.on_lost(found->second.trace_id, found->second.target.second, cause);
     }
-    if (cause != loss_cause::not_at_target)
+    if (cause != loss_cause::not_at_target && !has_restarted(found->second))
     {
         report_failure(
             found->second.target, cause == loss_cause::target_silent
--- a/packages/core/tests/admission/probing_gateway_losses_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_losses_test.cpp
@@ -52,6 +52,53 @@
     CHECK(lost == 0);
 }
 
+// Guards against a request that is taken for lost, and abandoned, because its target starts anew
+// under its name: the new process does not report what the former one still finishes.
+TEST_CASE("changes of the table do not count as the loss of a request")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(table_snapshot&)> change;
+        std::vector<loss_cause> causes;
+    };
+    const auto first_target = [](table_snapshot& table) -> target_row&
+    { return table.services.at("desk").targets.at(0); };
+    const std::vector<row> rows = {
+        {"drains",
+         [=](auto& table) { first_target(table).state = target_admin_state::draining; },
+         {}},
+        {"leaves", [](auto& table) { table.services.at("desk").targets.clear(); }, {}},
+        {"moves to another failure domain",
+         [=](auto& table) { first_target(table).failure_domain = "elsewhere"; },
+         {}},
+        {"service removed", [](auto& table) { table.services.clear(); }, {}},
+        {"starts anew",
+         [=](auto& table)
+         {
+             first_target(table).incarnation = 2;
+             first_target(table).address = "10.0.0.9:1";
+         },
+         {loss_cause::target_replaced}}};
+    const auto& each = rows.at(GENERATE(range(0, 5)));
+    INFO(each.name);
+    probing_fixture fixture(1);
+    fixture.table.services.at("desk").targets.at(0).incarnation = 1;
+    fixture.apply();
+    fixture.objective = 80ms;
+    const std::string target = fixture.decide(1).target;
+    std::vector<loss_cause> causes;
+    fixture.gateway.watch(1, [&](loss_cause cause) { causes.push_back(cause); });
+    REQUIRE(fixture.gateway.may_send(1));
+    fixture.timers.advance(10ms);
+    each.change(fixture.table);
+    fixture.apply();
+    fixture.report(target).load->running = each.causes.empty() ? 1 : 0;
+    fixture.timers.advance(600ms);
+    CHECK(causes == each.causes);
+    CHECK(fixture.probing->ejected_count() == 0);
+}
+
 // Guards against a request that is still watched after it has ended.
 TEST_CASE("a request that has ended is not reported as lost")
 {
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -304,9 +304,10 @@
         return;
     }
     exclude(found->target);
-    if (sent && cause == core::loss_cause::target_silent)
+    if (sent && cause != core::loss_cause::not_at_target)
     {
-        // The target, or the path to it, may only have paused.
+        // The target, or the path to it, may only have paused, and a target that starts anew may
+        // still finish its requests.
         found->silent = true;
         if (may_retry())
         {
