--- a/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
+++ b/packages/core/include/catkintally/core/admission/lost_request_detector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/admission/admission_request.hpp>
+#include <catkintally/core/admission/loss_cause.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/time/timer_service.hpp>
 
@@ -17,20 +18,6 @@
 /// Service name and target name.
 using target_key = std::pair<std::string, std::string>;
 
-/// Why a request is considered lost.
-enum class loss_cause : std::uint8_t
-{
-    /// The target answers no health check and no new connection to it can be established.
-    target_silent,
-    /// A target of another name answers at the address.
-    target_replaced,
-    /// The target reports fewer requests than this instance has in flight there.
-    not_at_target
-};
-
-/// Name of a cause in log events.
-[[nodiscard]] const char* loss_cause_name(loss_cause cause);
-
 /// Fixed inputs of a lost_request_detector.
 struct lost_request_detector_options
 {
@@ -62,6 +49,13 @@
     /// `check_delay`, further ones at growing intervals.
     void add_request(request_id id, const target_key& target, duration check_delay);
 
+    /// The first byte of a watched request is sent now, on a connection that was established after
+    /// add_request().
+    void note_sent(request_id id);
+
+    /// The target has started anew since it got this request, so its reports are not about it.
+    void note_restart(request_id id);
+
     /// Stops watching a request that ended. True if its target has answered a check in the
     /// meantime, so that the time the request took is no sign of a dead target.
     bool remove_request(request_id id);
@@ -74,6 +68,10 @@
         duration interval{};
         timer_id timer = 0;
         bool target_answered = false;
+        /// The request was sent to an earlier start of the target.
+        bool before_restart = false;
+        /// The target's last report had no place for this request.
+        bool missing = false;
     };
 
     struct pending_check
@@ -97,7 +95,11 @@
     [[nodiscard]] std::vector<request_id>
     arrived_before(const target_key& target, time_point started_at) const;
     void report_lost(const std::vector<request_id>& requests, loss_cause cause);
-    void confirm_missing(const std::vector<request_id>& requests);
+    /// Requests that neither this report of the target nor the previous one has a place for.
+    [[nodiscard]] std::vector<request_id> missing_twice(
+        const target_key& target, const load_report& load, const std::vector<request_id>& requests);
+    /// Checks the target once more, since its report may have crossed the request or its answer.
+    void schedule_confirmation(const target_key& target);
 
     lost_request_detector_options options_;
     std::map<request_id, watched_request> watched_;
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -191,13 +191,14 @@
     struct grant
     {
         target_key target;
+        std::uint64_t incarnation = 0;
         time_point granted_at{};
         /// Time left until the latency objective; zero if there is none or it has passed.
         duration objective_left{};
         std::string trace_id;
         std::uint64_t fingerprint = 0;
         /// Called if the target has lost the request; may be empty.
-        std::function<void()> on_lost;
+        std::function<void(loss_cause)> on_lost;
     };
 
     void ask(admission_request request, admission_callback answer);
@@ -230,10 +231,12 @@
     [[nodiscard]] const probe_attempt* find_best(pending_admission& admission);
     void finish(request_id id, decision_code code, const target_row* target, duration retry_after);
     [[nodiscard]] bool may_send(request_id id);
-    void watch(request_id id, std::function<void()> on_lost);
+    void watch(request_id id, std::function<void(loss_cause)> on_lost);
     void check_target(const target_key& key, std::function<void(probe_report)> done);
     void try_connect_target(const target_key& key, std::function<void(bool)> completed);
     void confirm_crash(const grant& completed);
+    /// True if the table lists a later start of the target than the one that was granted.
+    [[nodiscard]] bool has_restarted(const grant& granted) const;
     void handle_loss(request_id id, loss_cause cause);
     void complete(const completion_report& report);
     void
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -92,11 +92,15 @@
             {
                 options_.timers->cancel(found->second.timer);
                 stop_waiting_for_token(found->second);
+                if (found->second.request.retry)
+                {
+                    retry_budgets_[found->second.request.service].refund();
+                }
                 pending_admissions_.erase(found);
             }
         },
         .may_send = [this](request_id id) { return may_send(id); },
-        .watch = [this](request_id id, std::function<void()> on_lost)
+        .watch = [this](request_id id, std::function<void(loss_cause)> on_lost)
         { watch(id, std::move(on_lost)); },
         .complete =
             [this](const completion_report& report, const std::shared_ptr<const stored_answer>&)
@@ -132,6 +136,13 @@
         }
     }
     targets_ = std::move(kept);
+    for (const auto& [id, each] : grants_)
+    {
+        if (has_restarted(each))
+        {
+            lost_request_detector_.note_restart(id);
+        }
+    }
     barriers_.remove_unlisted(*table_, now);
     std::erase_if(
         slowdown_windows_,
@@ -442,6 +453,7 @@
         const target_key key(admission.request.service, target->name);
         grants_[id] = {
             .target = key,
+            .incarnation = target->incarnation,
             .granted_at = now,
             .objective_left = admission.request.objective_left,
             .trace_id = admission.request.trace_id,
@@ -504,7 +516,12 @@
         return false;
     }
     const target_row* target = find_row(found->second.target);
-    return target != nullptr && takes_requests(found->second.target.first, *target);
+    if (target == nullptr || !takes_requests(found->second.target.first, *target))
+    {
+        return false;
+    }
+    lost_request_detector_.note_sent(id);
+    return true;
 }
 
 void probing_gateway::complete(const completion_report& report)
--- a/packages/core/tests/admission/probing_gateway_losses_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_losses_test.cpp
@@ -22,7 +22,7 @@
     fixture.objective = each.objective;
     const std::string target = fixture.decide(1).target;
     int lost = 0;
-    fixture.gateway.watch(1, [&] { ++lost; });
+    fixture.gateway.watch(1, [&](loss_cause) { ++lost; });
     fixture.reports.erase(target);
     fixture.timers.advance(each.reported_within - 2ms);
     CHECK(lost == 0);
@@ -33,13 +33,79 @@
     CHECK(fixture.decide(2, true).target != target);
 }
 
+// Guards against a request that is taken from a target at work because it was sent only shortly
+// before the target reported its load: establishing the connection took longer than the objective.
+TEST_CASE("a request is missed at a target only some time after its first byte was sent")
+{
+    const auto sent_after = GENERATE(0ms, 60ms, 80ms, 81ms, 90ms, 100ms);
+    INFO("sent after " << sent_after.count() << " ms");
+    probing_fixture fixture(2);
+    fixture.objective = 80ms;
+    const std::string target = fixture.decide(1).target;
+    int lost = 0;
+    fixture.gateway.watch(1, [&](loss_cause) { ++lost; });
+    // The target answers checks at once and has the request 2 ms after it was sent.
+    fixture.timers.schedule_after(sent_after, [&] { CHECK(fixture.gateway.may_send(1)); });
+    fixture.timers.schedule_after(
+        sent_after + 2ms, [&] { fixture.report(target).load->running = 1; });
+    fixture.timers.advance(sent_after + 200ms);
+    CHECK(lost == 0);
+}
+
+// Guards against a request that is taken for lost, and abandoned, because its target starts anew
+// under its name: the new process does not report what the former one still finishes.
+TEST_CASE("changes of the table do not count as the loss of a request")
+{
+    struct row
+    {
+        const char* name;
+        std::function<void(table_snapshot&)> change;
+        std::vector<loss_cause> causes;
+    };
+    const auto first_target = [](table_snapshot& table) -> target_row&
+    { return table.services.at("desk").targets.at(0); };
+    const std::vector<row> rows = {
+        {"drains",
+         [=](auto& table) { first_target(table).state = target_admin_state::draining; },
+         {}},
+        {"leaves", [](auto& table) { table.services.at("desk").targets.clear(); }, {}},
+        {"moves to another failure domain",
+         [=](auto& table) { first_target(table).failure_domain = "elsewhere"; },
+         {}},
+        {"service removed", [](auto& table) { table.services.clear(); }, {}},
+        {"starts anew",
+         [=](auto& table)
+         {
+             first_target(table).incarnation = 2;
+             first_target(table).address = "10.0.0.9:1";
+         },
+         {loss_cause::target_replaced}}};
+    const auto& each = rows.at(GENERATE(range(0, 5)));
+    INFO(each.name);
+    probing_fixture fixture(1);
+    fixture.table.services.at("desk").targets.at(0).incarnation = 1;
+    fixture.apply();
+    fixture.objective = 80ms;
+    const std::string target = fixture.decide(1).target;
+    std::vector<loss_cause> causes;
+    fixture.gateway.watch(1, [&](loss_cause cause) { causes.push_back(cause); });
+    REQUIRE(fixture.gateway.may_send(1));
+    fixture.timers.advance(10ms);
+    each.change(fixture.table);
+    fixture.apply();
+    fixture.report(target).load->running = each.causes.empty() ? 1 : 0;
+    fixture.timers.advance(600ms);
+    CHECK(causes == each.causes);
+    CHECK(fixture.probing->ejected_count() == 0);
+}
+
 // Guards against a request that is still watched after it has ended.
 TEST_CASE("a request that has ended is not reported as lost")
 {
     probing_fixture fixture(2);
     const std::string target = fixture.decide(1).target;
     int lost = 0;
-    fixture.gateway.watch(1, [&] { ++lost; });
+    fixture.gateway.watch(1, [&](loss_cause) { ++lost; });
     fixture.complete(1, completion_outcome::answered);
     fixture.reports.erase(target);
     fixture.timers.advance(2s);
