Store: one odd entry no longer hides all others

Seen: while one entry of a list was nested 30 levels deep in its value, no instance learned of a new route or of targets that had moved, and no request was served.

Cause: a page of a list, and a watch, was parsed as one JSON document, and the name and revision of each entry by calls that throw. One entry beyond the parser's depth, or with a number that it cannot hold, made the whole answer count as missing, so that every reader lost the store for as long as the entry stood.

What to do with an odd entry is decided in packages/entry: it is logged once (2009) and counted (catkintally_objects_refused); one without a readable version leaves what is known under its name, its removal counts, and one without a name is only counted. Entries above 4 KB, except configurations, are kept and passed on without their value. An odd entry that never named a target is not decoded and logged again at each change of another one.

--- a/packages/core/include/catkintally/core/store/object_store.hpp
+++ b/packages/core/include/catkintally/core/store/object_store.hpp
@@ -60,6 +60,17 @@
     std::string value;
 };
 
+/// An entry of an answer whose version, or another member that every entry has, cannot be read.
+struct unreadable_entry
+{
+    std::string key;
+    /// Path of that member, and what is expected there.
+    std::string where;
+    std::string expected;
+
+    bool operator==(const unreadable_entry&) const = default;
+};
+
 /// Result of a list or watch; `version` is the store version that it reflects, `era` the era that
 /// the store has named in its answer.
 struct store_list_result
@@ -68,6 +79,10 @@
     std::uint64_t version = 0;
     std::vector<store_object> objects;
     std::optional<std::uint64_t> era{};
+    /// Entries that are not among the objects, although the store holds them.
+    std::vector<unreadable_entry> unreadable{};
+    /// Number of further entries whose name cannot be read either.
+    std::uint64_t nameless = 0;
 };
 
 /// Client of the platform's object API. Every call invokes its callback exactly once, from the
--- a/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
+++ b/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/table/table_snapshot.hpp>
 #include <catkintally/core/time/back_off.hpp>
 #include <catkintally/entry/table/object_mirror.hpp>
+#include <catkintally/entry/table/refused_objects.hpp>
 #include <catkintally/entry/table/target_registry.hpp>
 
 #include <cstdint>
@@ -93,6 +94,9 @@
     /// Era of the store; nothing while it has not named one.
     [[nodiscard]] const std::optional<known_store_era>& era() const { return era_; }
 
+    /// How often an object could not be used.
+    [[nodiscard]] std::uint64_t refused_count() const { return refused_objects_.count(); }
+
     /// True while the store answers.
     [[nodiscard]] bool is_in_contact() const { return reading_ && !unreachable_since_; }
 
@@ -108,6 +112,7 @@
     /// Notes that the mirror is not in contact any more.
     void mark_failed(std::size_t index);
     void on_history_lost(std::size_t index);
+    void on_unreadable(std::size_t index, const core::store_list_result& answer);
     void report_contact(std::size_t index);
     /// `reading_mirror` is the mirror that received the answer, if there is one.
     void adopt_era(
@@ -143,6 +148,7 @@
     bool complete_ = false;
     /// Number of the current probe; answers to earlier ones are ignored. Expires with this object.
     std::shared_ptr<std::uint64_t> current_probe_ = std::make_shared<std::uint64_t>(0);
+    refused_objects refused_objects_;
     target_registry registry_;
     std::optional<core::configuration> configuration_;
     core::store_position seen_configuration_;
--- a/packages/entry/include/catkintally/entry/table/object_mirror.hpp
+++ b/packages/entry/include/catkintally/entry/table/object_mirror.hpp
@@ -89,6 +89,11 @@
     std::function<void(std::uint64_t era)> on_new_era{};
     /// An answer names an earlier era.
     std::function<void(std::uint64_t era)> on_earlier_era{};
+    /// An answer has entries that cannot be read, listed with those that can; may be empty.
+    std::function<void(const core::store_list_result&)> on_unreadable{};
+    /// Larger objects are kept without their value and status, so that one does not fill the
+    /// memory of all instances, or the messages between them. 0: any size.
+    std::size_t max_object_bytes = 0;
     /// A call has failed; no further call is made until resume().
     std::function<void()> on_call_failure;
 };
@@ -146,15 +151,19 @@
     /// Makes the era that the answer names the known one. False if the answer may be a late one
     /// from an earlier era.
     bool accept_era(const core::store_list_result& answer);
-    /// Adds era and content to the objects of an answer.
-    void complete_objects(std::vector<core::store_object>& objects) const;
+    /// Adds era and content to the objects of an answer, and reports the unreadable entries.
+    void complete_answer(core::store_list_result& answer) const;
+    void limit_size(core::store_object& object) const;
     void apply_list(core::store_list_result answer);
     void apply_events(core::store_list_result answer);
     bool apply(const std::vector<core::store_object>& changes);
     /// Applies the objects that are newer in content than the known ones.
     bool apply_newer_content(const std::vector<core::store_object>& objects);
-    /// Replaces all objects, except those that are newer in content than the given ones.
-    void replace(const std::vector<core::store_object>& objects);
+    /// Replaces all objects, except those that are newer in content than the given ones and those
+    /// of which the store holds an entry that cannot be read.
+    void replace(
+        const std::vector<core::store_object>& objects,
+        const std::vector<core::unreadable_entry>& unreadable = {});
     void log_older_content(const core::store_object& listed, const core::store_object& known);
     [[nodiscard]] std::uint64_t known_era() const;
     [[nodiscard]] std::uint64_t digest() const;
--- a/packages/entry/include/catkintally/entry/table/target_registry.hpp
+++ b/packages/entry/include/catkintally/entry/table/target_registry.hpp
@@ -72,6 +72,9 @@
     target_registry_options options_;
     /// By object key.
     std::map<std::string, entry> entries_;
+    /// Positions of the objects that cannot be used and name no known target, by key. They are not
+    /// decoded again.
+    std::map<std::string, core::store_position> refused_;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -305,6 +305,9 @@
     metrics.gauge(
         "catkintally_configuration_version", {},
         [this] { return follower_ ? static_cast<double>(follower_->version().value_or(0)) : 0.0; });
+    metrics.gauge(
+        "catkintally_objects_refused", {},
+        [this] { return follower_ ? static_cast<double>(follower_->refused_count()) : 0.0; });
     metrics.gauge(
         "catkintally_store_era", {},
         [this] {
--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -34,24 +34,26 @@
     evacuation_mirror
 };
 
-/// Returns the decoded object, or logs the error and returns nothing.
+/// Largest entry of a target or an evacuation that is kept whole; those of targets have a few
+/// hundred bytes.
+constexpr std::size_t max_entry_bytes = 4'096;
+
+/// Returns the decoded object, or notes the error and returns nothing.
 template <class Decode>
-auto decoded_or_logged(const core::store_object& object, Decode decode)
+auto decoded_or_refused(
+    const core::store_object& object, Decode decode, refused_objects& refused_objects)
 {
     using value = std::decay_t<decltype(*decode(object))>;
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<value>>
         {
             BOOST_LEAF_AUTO(decoded, decode(object));
+            refused_objects.accept(object.key);
             return std::optional<value>(std::move(decoded));
         },
         [&](const platform::decode_error& error)
         {
-            log_event(
-                event_id::object_refused, {{"key", object.key},
-                                           {"version", std::to_string(object.version)},
-                                           {"where", error.where},
-                                           {"expected", error.expected}});
+            refused_objects.refuse(object.key, object.position(), error.where, error.expected);
             return std::optional<value>();
         },
         [] { return std::optional<value>(); });
@@ -62,8 +64,8 @@
 configuration_follower::configuration_follower(configuration_follower_options options)
     : options_(std::move(options))
     , back_off_(options_.back_off)
-    , registry_({.decode = [](const core::store_object& object) {
-        return decoded_or_logged(object, platform::decode_target);
+    , registry_({.decode = [this](const core::store_object& object) {
+        return decoded_or_refused(object, platform::decode_target, refused_objects_);
     }})
 {
     assert(options_.store != nullptr && options_.long_watch_store != nullptr);
@@ -112,9 +114,22 @@
         .known_era = [this] { return era_ ? std::optional(era_->era) : std::nullopt; },
         .on_new_era = [this, index](std::uint64_t era) { adopt_era(era, options_.self, index); },
         .on_earlier_era = [this](std::uint64_t era) { on_earlier_era(era); },
+        .on_unreadable = [this, index](const core::store_list_result& answer)
+        { on_unreadable(index, answer); },
+        .max_object_bytes = index == configuration_mirror ? 0 : max_entry_bytes,
         .on_call_failure = [this, index] { on_mirror_call_failed(index); }};
 }
 
+void configuration_follower::on_unreadable(std::size_t index, const core::store_list_result& answer)
+{
+    const core::store_position unknown_version{.era = era_ ? era_->era : 0, .version = 0};
+    for (const core::unreadable_entry& entry : answer.unreadable)
+    {
+        refused_objects_.refuse(entry.key, unknown_version, entry.where, entry.expected);
+    }
+    refused_objects_.refuse_nameless(mirrors_[index]->prefix(), answer.nameless);
+}
+
 std::function<std::uint64_t(const core::store_object&)> configuration_follower::content_hook()
 {
     return [this](const core::store_object& object)
@@ -130,7 +145,7 @@
     if (decoded_position_ != object.position())
     {
         decoded_position_ = object.position();
-        decoded_ = decoded_or_logged(object, platform::decode_configuration);
+        decoded_ = decoded_or_refused(object, platform::decode_configuration, refused_objects_);
     }
     return decoded_;
 }
--- a/packages/entry/src/table/object_mirror.cpp
+++ b/packages/entry/src/table/object_mirror.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cassert>
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace catkintally::entry
@@ -195,7 +196,8 @@
                     return;
                 }
                 options_.on_answered();
-                const bool quiet = answer.objects.empty();
+                const bool quiet =
+                    answer.objects.empty() && answer.unreadable.empty() && answer.nameless == 0;
                 apply_events(std::move(answer));
                 if (quiet)
                 {
@@ -248,7 +250,9 @@
 void object_mirror::log_older_content(
     const core::store_object& listed, const core::store_object& known)
 {
-    if (older_content_ == listed.position())
+    // An object that cannot be used has no content; the content hook has reported it.
+    const bool unusable = !listed.deleted && listed.content == 0;
+    if (unusable || older_content_ == listed.position())
     {
         return;
     }
@@ -261,23 +265,39 @@
          {"expected", "at least " + std::to_string(known.content)}});
 }
 
-void object_mirror::complete_objects(std::vector<core::store_object>& objects) const
+void object_mirror::complete_answer(store_list_result& answer) const
 {
-    for (core::store_object& object : objects)
+    for (core::store_object& object : answer.objects)
     {
+        limit_size(object);
         object.era = known_era();
         object.content = object.deleted || !options_.content ? 0 : options_.content(object);
     }
+    const bool unreadable = !answer.unreadable.empty() || answer.nameless > 0;
+    if (unreadable && options_.on_unreadable)
+    {
+        options_.on_unreadable(answer);
+    }
+}
+
+void object_mirror::limit_size(core::store_object& object) const
+{
+    const std::size_t size = object.value.size() + object.status.size();
+    if (options_.max_object_bytes != 0 && size > options_.max_object_bytes)
+    {
+        object.value.clear();
+        object.status.clear();
+    }
 }
 
 void object_mirror::apply_list(store_list_result answer)
 {
-    complete_objects(answer.objects);
+    complete_answer(answer);
     watch_version_ = answer.version;
     watch_era_ = known_era();
     if (!is_listed() || position_.era != watch_era_)
     {
-        replace(answer.objects);
+        replace(answer.objects, answer.unreadable);
         position_ = {.era = watch_era_, .version = answer.version};
         options_.updated(whole());
         options_.changed();
@@ -287,10 +307,14 @@
     // Differences from the known objects, expressed as changes.
     object_update update{
         .prefix = options_.prefix, .version = answer.version, .objects = {}, .era = watch_era_};
-    std::map<std::string, const core::store_object*> listed;
+    std::set<std::string> listed;
+    for (const core::unreadable_entry& entry : answer.unreadable)
+    {
+        listed.insert(entry.key);
+    }
     for (const core::store_object& object : answer.objects)
     {
-        listed.emplace(object.key, &object);
+        listed.insert(object.key);
         const auto known = objects_.find(object.key);
         if (known == objects_.end() || object.is_newer_than(known->second))
         {
@@ -326,7 +350,7 @@
 
 void object_mirror::apply_events(store_list_result answer)
 {
-    complete_objects(answer.objects);
+    complete_answer(answer);
     watch_version_ = answer.version;
     for (const core::store_object& object : answer.objects)
     {
@@ -368,7 +392,7 @@
         if (!change.deleted)
         {
             objects_digest_ += digest_of(change);
-            objects_[change.key] = change;
+            limit_size(objects_[change.key] = change);
             any = true;
         }
     }
@@ -389,7 +413,9 @@
     return apply(newer);
 }
 
-void object_mirror::replace(const std::vector<core::store_object>& objects)
+void object_mirror::replace(
+    const std::vector<core::store_object>& objects,
+    const std::vector<core::unreadable_entry>& unreadable)
 {
     const auto previous = std::exchange(objects_, {});
     objects_digest_ = 0;
@@ -403,6 +429,14 @@
         }
         apply_newer_content({known});
     }
+    for (const core::unreadable_entry& entry : unreadable)
+    {
+        const auto known = previous.find(entry.key);
+        if (known != previous.end() && !objects_.contains(entry.key))
+        {
+            apply({known->second});
+        }
+    }
 }
 
 update_result object_mirror::offer(const object_update& update)
--- a/packages/entry/src/table/target_registry.cpp
+++ b/packages/entry/src/table/target_registry.cpp
@@ -57,6 +57,7 @@
     // The first list is logged as one line: one line per target would, with hundreds of targets,
     // use up the log's limit per second.
     const bool first = entries_.empty();
+    std::erase_if(refused_, [&](const auto& each) { return !objects.contains(each.first); });
     for (const auto& [key, object] : objects)
     {
         apply_object(object, !first);
@@ -124,6 +125,11 @@
     {
         return;
     }
+    const auto refused = refused_.find(object.key);
+    if (refused != refused_.end() && refused->second == object.position())
+    {
+        return;
+    }
     auto decoded = options_.decode(object);
     if (!decoded)
     {
@@ -135,8 +141,13 @@
             known->second.listed = true;
             known->second.unusable = true;
         }
+        else
+        {
+            refused_.insert_or_assign(object.key, object.position());
+        }
         return;
     }
+    refused_.erase(object.key);
     entry& updated = entries_[object.key];
     const bool was_used = is_used(updated);
     const bool newer_state = order_key(*decoded) > order_key(updated.registration);
