--- a/packages/core/src/table/endpoint.cpp
+++ b/packages/core/src/table/endpoint.cpp
@@ -21,7 +21,9 @@
         host = host.substr(1, host.size() - 2);
     }
     in6_addr binary{};
-    if (inet_pton(bracketed ? AF_INET6 : AF_INET, host.c_str(), &binary) != 1)
+    // inet_pton() reads up to a zero byte.
+    if (host.find('\0') != std::string::npos ||
+        inet_pton(bracketed ? AF_INET6 : AF_INET, host.c_str(), &binary) != 1)
     {
         return std::nullopt;
     }
--- a/packages/core/tests/table/endpoint_test.cpp
+++ b/packages/core/tests/table/endpoint_test.cpp
@@ -31,4 +31,7 @@
         CHECK(parsed == each.expected);
         CHECK((!parsed || to_string(*parsed) == each.text));
     }
+    using namespace std::string_view_literals;
+    CHECK_FALSE(parse_endpoint("127.0.0.1\0x:80"sv));
+    CHECK_FALSE(parse_endpoint("127.0.0.1:8\0"sv));
 }
