News: an update that no instance would send is ignored

Seen in the code: a whole update without a version, offered to an instance that knows nothing of its kind yet, was taken as applied; the state of the kind was then looked up with a call that throws, which ends the process. An update with objects of another kind was applied to the kind that it names, so that an object without a name, or a configuration, stood among the targets.

Change: such an update is logged (6-series event peer_frame_malformed) and ignored. The test's instance reports no state without a version, as object_mirror does; the check of the version itself is what the test adds.

--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -97,6 +97,17 @@
     return update;
 }
 
+/// False for an update that no instance sends: without a version, or with objects of another kind.
+bool is_well_formed(const object_update& update)
+{
+    return update.version != 0 && std::all_of(
+                                      update.objects.begin(), update.objects.end(),
+                                      [&](const core::store_object& object) {
+                                          return object.key.size() > update.prefix.size() &&
+                                                 object.key.starts_with(update.prefix);
+                                      });
+}
+
 /// Maximum number of limits or demand reports in one message, about 64 KB.
 constexpr std::size_t max_notice_entries = 512;
 
@@ -556,6 +567,14 @@
 void gossip_node::handle_update(const core::member& from, const wire::news_update_data& message)
 {
     const object_update update = to_update(message);
+    if (!is_well_formed(update))
+    {
+        runtime::log_event(
+            runtime::event_id::peer_frame_malformed,
+            {{"peer", core::to_text(from.id)},
+             {"error", "update without a version or with objects of another kind"}});
+        return;
+    }
     if (update.whole)
     {
         // This answers a pull, so the next gap may be pulled immediately.
--- a/packages/entry/tests/news/gossip_node_test.cpp
+++ b/packages/entry/tests/news/gossip_node_test.cpp
@@ -1,6 +1,7 @@
 #include <catkintally/entry/news/gossip_node.hpp>
 #include <catkintally/runtime/time/libevent_timer_service.hpp>
 #include <catkintally/runtime/time/run_until.hpp>
+#include <catkintally/wire/codec/make_message.hpp>
 
 #include "support/free_address.hpp"
 
@@ -44,10 +45,11 @@
                 .seed = std::hash<std::string>()(name),
                 .offer = [this](const object_update& update) { return apply(update); },
                 .whole = [this](const std::string&) { return known; },
+                // As with an object_mirror, objects without a version are not known.
                 .states =
                     [this]
                 {
-                    return known ? std::map<std::string, object_state>{
+                    return known && known->version != 0 ? std::map<std::string, object_state>{
                                    {"k/", {.version = known->version, .digest = known->digest}}}
                              : std::map<std::string, object_state>{};
                 },
@@ -106,6 +108,7 @@
         }
         known = update;
         known->whole = true;
+        ++updates;
         return update_result::applied;
     }
 
@@ -120,6 +123,8 @@
 
     std::string address;
     std::optional<object_update> known;
+    /// Updates that were applied.
+    int updates = 0;
     std::set<std::pair<std::uint64_t, std::string>> crashes;
     std::map<std::string, core::target_limit> limits;
     std::vector<core::demand_report> demand;
@@ -377,3 +382,59 @@
                                    { return receiver.limits.contains("valid"); }));
     CHECK_FALSE(receiver.limits.contains("absurd"));
 }
+
+// Guards against a process that ends, or an instance whose table holds what belongs to another
+// kind, because of an update that a faulty or another version of an instance sends.
+TEST_CASE("an update that no instance would send is ignored")
+{
+    gossip_fixture fixture;
+    const test_instance& receiver = fixture.add("i0");
+    const std::string address = free_address();
+    std::optional<core::member_id> linked;
+    peer_network sender(
+        {.loop = &fixture.loop,
+         .timers = &fixture.timers,
+         .self =
+             {.id = {.instance = "other", .incarnation = 1},
+              .failure_domain = "d0",
+              .peer_address = address},
+         .listen_address = address,
+         .key = "shared",
+         .seeds = {receiver.address},
+         .seed = 3,
+         .receive = [](const core::member&, const wire::payloadUnion&) {},
+         .linked = [&](const core::member_id& peer) { linked = peer; }});
+    REQUIRE(sender.start());
+    REQUIRE(fixture.wait_until_all([&](const test_instance&) { return linked.has_value(); }));
+    struct row
+    {
+        std::uint64_t version;
+        bool whole;
+        std::vector<const char*> keys;
+    };
+    const auto send = [&](const row& each)
+    {
+        wire::news_update_data data;
+        data.prefix = "k/";
+        data.version = each.version;
+        data.whole = each.whole;
+        for (const char* key : each.keys)
+        {
+            data.objects.push_back(std::make_unique<wire::news_object_data>());
+            data.objects.back()->key = key;
+            data.objects.back()->value = std::string(100'000, '[');
+        }
+        sender.send(*linked, wire::make_message(std::move(data)));
+    };
+    for (const bool whole : {true, false})
+    {
+        send({.version = 0, .whole = whole, .keys = {"k/a"}});
+        send({.version = 1, .whole = whole, .keys = {"k/a", "other/a"}});
+        send({.version = 1, .whole = whole, .keys = {"k/"}});
+        send({.version = 1, .whole = whole, .keys = {""}});
+    }
+    send({.version = 5, .whole = true, .keys = {"k/a"}});
+    CHECK(fixture.wait_for_version(5));
+    REQUIRE(receiver.known);
+    CHECK(receiver.updates == 1);
+}
