Targets: an entry with a very long name is refused

A name may be as long as the store allows, and the key is kept by every instance and passed on in messages.

--- a/packages/entry/src/table/object_mirror.cpp
+++ b/packages/entry/src/table/object_mirror.cpp
@@ -267,6 +267,19 @@
 
 void object_mirror::complete_answer(store_list_result& answer) const
 {
+    std::erase_if(
+        answer.objects,
+        [&](const core::store_object& object)
+        {
+            const bool refused =
+                options_.max_object_bytes != 0 && object.key.size() > options_.max_object_bytes;
+            if (refused)
+            {
+                answer.unreadable.push_back(
+                    {.key = object.key, .where = "metadata.name", .expected = "a shorter name"});
+            }
+            return refused;
+        });
     for (core::store_object& object : answer.objects)
     {
         limit_size(object);
--- a/packages/entry/src/table/refused_objects.cpp
+++ b/packages/entry/src/table/refused_objects.cpp
@@ -10,8 +10,8 @@
 /// Number of refused objects that are remembered, which bounds the memory.
 constexpr std::size_t max_known = 1'000;
 
-/// Longer keys are cut in the log.
-constexpr std::size_t max_logged_key_bytes = 200;
+/// Longer keys and paths are cut.
+constexpr std::size_t max_text_bytes = 200;
 
 void log_refusal(
     const std::string& key,
@@ -20,20 +20,21 @@
     const std::string& expected)
 {
     runtime::log_event(
-        runtime::event_id::object_refused, {{"key", key.substr(0, max_logged_key_bytes)},
+        runtime::event_id::object_refused, {{"key", key},
                                             {"version", std::to_string(version)},
-                                            {"where", where.substr(0, max_logged_key_bytes)},
+                                            {"where", where.substr(0, max_text_bytes)},
                                             {"expected", expected}});
 }
 
 } // namespace
 
 void refused_objects::refuse(
-    const std::string& key,
+    const std::string& whole_key,
     core::store_position position,
     const std::string& where,
     const std::string& expected)
 {
+    const std::string key = whole_key.substr(0, max_text_bytes);
     const auto found = known_.find(key);
     const bool same_reason = found != known_.end() && found->second.where == where;
     if (same_reason && found->second.position == position)
