Targets: an odd entry leaves a known target as it was

Another writer that replaces a target's entry with one that cannot be used took the target out of use, until the target's own next change; its sequence number alone is not written, so that may be never. A few such entries could empty a service.

Change: an entry that cannot be used says nothing of a target that an earlier entry has named. A target that is no longer listed is not brought back by such an entry.

--- a/packages/entry/include/catkintally/entry/table/target_registry.hpp
+++ b/packages/entry/include/catkintally/entry/table/target_registry.hpp
@@ -33,8 +33,9 @@
     explicit target_registry(target_registry_options options);
 
     /// Applies the objects that the store holds now, in `era`. Missing entries are kept for
-    /// missing_entry_retention, and until `trusted_from` at least, unless the target was draining
-    /// or its entry unusable. Returns when to call again, if entries are kept.
+    /// missing_entry_retention, and until `trusted_from` at least, unless the target was draining.
+    /// An object that cannot be used leaves the target as it was. Returns when to call again, if
+    /// entries are kept.
     std::optional<core::time_point> apply(
         const std::map<std::string, core::store_object>& objects,
         std::uint64_t era,
--- a/packages/entry/src/table/target_registry.cpp
+++ b/packages/entry/src/table/target_registry.cpp
@@ -74,7 +74,8 @@
     {
         entry& each = at->second;
         const auto& registration = each.registration;
-        const bool stored = objects.contains(at->first);
+        // An entry that cannot be used does not bring back a target that is no longer listed.
+        const bool stored = objects.contains(at->first) && (each.listed || !each.unusable);
         each.outdated = each.outdated && stored;
         if (stored && !each.outdated)
         {
@@ -88,8 +89,7 @@
         if (std::exchange(each.listed, false))
         {
             // A draining target whose entry disappears has certainly left; it is not kept.
-            const bool remove_now =
-                registration.target.state == core::target_admin_state::draining || each.unusable;
+            const bool remove_now = registration.target.state == core::target_admin_state::draining;
             each.kept_until =
                 remove_now ? now : std::max(now + options_.missing_entry_retention, trusted_from);
             log_change(registration, remove_now ? "gone" : "unlisted");
@@ -120,8 +120,10 @@
 void target_registry::apply_object(const core::store_object& object, bool log_additions)
 {
     const auto known = entries_.find(object.key);
-    if (known != entries_.end() && (known->second.listed || known->second.outdated) &&
-        known->second.seen == object.position())
+    const bool examined =
+        known != entries_.end() && known->second.seen == object.position() &&
+        (known->second.listed || known->second.outdated || known->second.unusable);
+    if (examined)
     {
         return;
     }
@@ -133,12 +135,10 @@
     auto decoded = options_.decode(object);
     if (!decoded)
     {
-        // An entry of another writer names no target; the numbers of the registered target are
-        // kept.
+        // An entry of another writer names no target, and says nothing of the registered one.
         if (known != entries_.end())
         {
             known->second.seen = object.position();
-            known->second.listed = true;
             known->second.unusable = true;
         }
         else
@@ -154,6 +154,7 @@
     const bool older_state = order_key(*decoded) < order_key(updated.registration);
     const bool from_copy = known != entries_.end() && is_from_copy(updated, object, newer_state);
     updated.seen = object.position();
+    updated.unusable = false;
     if (from_copy || older_state)
     {
         log_change(*decoded, "outdated");
@@ -163,7 +164,6 @@
     updated.listed = true;
     updated.kept_until.reset();
     updated.outdated = false;
-    updated.unusable = false;
     updated.remembered_until.reset();
     const bool changed = !was_used || decoded->started != updated.registration.started ||
                          decoded->target.state != updated.registration.target.state ||
@@ -185,7 +185,7 @@
 
 bool target_registry::is_used(const entry& checked)
 {
-    return !checked.unusable && !checked.remembered_until && (checked.listed || checked.kept_until);
+    return !checked.remembered_until && (checked.listed || checked.kept_until);
 }
 
 std::map<std::string, const core::target_registration*> target_registry::targets() const
--- a/packages/entry/tests/table/odd_entries_test.cpp
+++ b/packages/entry/tests/table/odd_entries_test.cpp
@@ -258,6 +258,37 @@
     CHECK(fixture.reach_targets({"b", "c"}));
 }
 
+// Guards against a target that is dropped, or never heard of again, because another writer has
+// replaced its entry.
+TEST_CASE("a known target stays as it was while its entry is odd")
+{
+    raw_follower fixture;
+    fixture.list("servers", {good("a", 2), good("b", 3)});
+    fixture.follower.set_reading(true);
+    REQUIRE(fixture.reach_targets({"a", "b"}));
+    for (const odd_text& each : platform::odd_target_values())
+    {
+        fixture.change("servers", entry_text("a", fixture.version + 1, each.text), false, false);
+    }
+    fixture.change("servers", good("c", fixture.version + 1));
+    REQUIRE(fixture.reach_targets({"a", "b", "c"}));
+    const auto address = [&](std::size_t index)
+    { return fixture.table->services.at("desk").targets.at(index).address; };
+    CHECK(address(0) == "10.0.0.97:80");
+    fixture.change(
+        "servers",
+        entry_text("a", fixture.version + 1, target_json("draining", 2, "10.0.0.97:80")));
+    CHECK(fixture.reach(
+        [&]
+        {
+            return fixture.table->services.at("desk").targets.at(0).state ==
+                   core::target_admin_state::draining;
+        }));
+    fixture.change("servers", entry_text("a", fixture.version + 1, "1e400"), false, false);
+    fixture.change("servers", good("a", fixture.version + 1), true);
+    CHECK(fixture.reach_targets({"b", "c"}));
+}
+
 // Guards against the use of another entry than the newest one of a name.
 TEST_CASE("of two entries with one name the newer one counts")
 {
