--- a/packages/entry/src/table/target_registry.cpp
+++ b/packages/entry/src/table/target_registry.cpp
@@ -57,6 +57,7 @@
     // The first list is logged as one line: one line per target would, with hundreds of targets,
     // use up the log's limit per second.
     const bool first = entries_.empty();
+    std::erase_if(refused_, [&](const auto& each) { return !objects.contains(each.first); });
     for (const auto& [key, object] : objects)
     {
         apply_object(object, !first);
@@ -73,7 +74,8 @@
     {
         entry& each = at->second;
         const auto& registration = each.registration;
-        const bool stored = objects.contains(at->first);
+        // An entry that cannot be used does not bring back a target that is no longer listed.
+        const bool stored = objects.contains(at->first) && (each.listed || !each.unusable);
         each.outdated = each.outdated && stored;
         if (stored && !each.outdated)
         {
@@ -87,8 +89,7 @@
         if (std::exchange(each.listed, false))
         {
             // A draining target whose entry disappears has certainly left; it is not kept.
-            const bool remove_now =
-                registration.target.state == core::target_admin_state::draining || each.unusable;
+            const bool remove_now = registration.target.state == core::target_admin_state::draining;
             each.kept_until =
                 remove_now ? now : std::max(now + options_.missing_entry_retention, trusted_from);
             log_change(registration, remove_now ? "gone" : "unlisted");
@@ -119,30 +120,41 @@
 void target_registry::apply_object(const core::store_object& object, bool log_additions)
 {
     const auto known = entries_.find(object.key);
-    if (known != entries_.end() && (known->second.listed || known->second.outdated) &&
-        known->second.seen == object.position())
+    const bool examined =
+        known != entries_.end() && known->second.seen == object.position() &&
+        (known->second.listed || known->second.outdated || known->second.unusable);
+    if (examined)
+    {
+        return;
+    }
+    const auto refused = refused_.find(object.key);
+    if (refused != refused_.end() && refused->second == object.position())
     {
         return;
     }
     auto decoded = options_.decode(object);
     if (!decoded)
     {
-        // An entry of another writer names no target; the numbers of the registered target are
-        // kept.
+        // An entry of another writer names no target, and says nothing of the registered one.
         if (known != entries_.end())
         {
             known->second.seen = object.position();
-            known->second.listed = true;
             known->second.unusable = true;
         }
+        else
+        {
+            refused_.insert_or_assign(object.key, object.position());
+        }
         return;
     }
+    refused_.erase(object.key);
     entry& updated = entries_[object.key];
     const bool was_used = is_used(updated);
     const bool newer_state = order_key(*decoded) > order_key(updated.registration);
     const bool older_state = order_key(*decoded) < order_key(updated.registration);
     const bool from_copy = known != entries_.end() && is_from_copy(updated, object, newer_state);
     updated.seen = object.position();
+    updated.unusable = false;
     if (from_copy || older_state)
     {
         log_change(*decoded, "outdated");
@@ -152,7 +164,6 @@
     updated.listed = true;
     updated.kept_until.reset();
     updated.outdated = false;
-    updated.unusable = false;
     updated.remembered_until.reset();
     const bool changed = !was_used || decoded->started != updated.registration.started ||
                          decoded->target.state != updated.registration.target.state ||
@@ -174,7 +185,7 @@
 
 bool target_registry::is_used(const entry& checked)
 {
-    return !checked.unusable && !checked.remembered_until && (checked.listed || checked.kept_until);
+    return !checked.remembered_until && (checked.listed || checked.kept_until);
 }
 
 std::map<std::string, const core::target_registration*> target_registry::targets() const
