Mirrors: one that its own answer halts makes no further call

Instances went on watching the store after they had ended to read. Each of their calls is priced; callers saw nothing.

Cause: an answer is reported before it is applied. The report can make the instance a surplus reader, which halts all its mirrors, and the mirror that had reported went on with its next watch. It now looks whether it was halted or resumed by its owner meanwhile; the answer itself is applied all the same. The other calls that report (probe, failures) check already whether the instance still reads.

object_mirror_test "a mirror that its own answer halts makes no further call" failed before after each kind of answer (list, quiet watch, changes, gap).

--- a/packages/entry/include/catkintally/entry/table/object_mirror.hpp
+++ b/packages/entry/include/catkintally/entry/table/object_mirror.hpp
@@ -143,6 +143,9 @@
     void watch();
     void list_after_gap();
     void watch_after_pause();
+    /// Reports the answer to the owner. False if the owner has halted or resumed the mirror because
+    /// of it.
+    bool note_answered();
     /// Makes the era that the answer names the known one. False if the answer may be a late one
     /// from an earlier era.
     bool accept_era(const core::store_list_result& answer);
--- a/packages/entry/src/table/object_mirror.cpp
+++ b/packages/entry/src/table/object_mirror.cpp
@@ -126,6 +126,13 @@
     return true;
 }
 
+bool object_mirror::note_answered()
+{
+    const std::uint64_t call = *current_call_;
+    options_.on_answered();
+    return *current_call_ == call;
+}
+
 void object_mirror::list()
 {
     options_.store->list(
@@ -148,9 +155,12 @@
                                      options_.on_call_failure();
                                      return;
                                  }
-                                 options_.on_answered();
+                                 const bool goes_on = note_answered();
                                  apply_list(std::move(answer));
-                                 watch_after_pause();
+                                 if (goes_on)
+                                 {
+                                     watch_after_pause();
+                                 }
                              }));
 }
 
@@ -181,7 +191,10 @@
                     runtime::log_event(
                         runtime::event_id::table_watch_gap,
                         {{"kind", options_.prefix}, {"from", std::to_string(watch_version_)}});
-                    options_.on_answered();
+                    if (!note_answered())
+                    {
+                        return;
+                    }
                     list_after_gap();
                     if (options_.on_history_lost)
                     {
@@ -194,9 +207,13 @@
                     options_.on_call_failure();
                     return;
                 }
-                options_.on_answered();
+                const bool goes_on = note_answered();
                 const bool quiet = answer.objects.empty();
                 apply_events(std::move(answer));
+                if (!goes_on)
+                {
+                    return;
+                }
                 if (quiet)
                 {
                     watch();
--- a/packages/entry/tests/table/object_mirror_test.cpp
+++ b/packages/entry/tests/table/object_mirror_test.cpp
@@ -72,7 +72,14 @@
                .prefix = "k/",
                .changed = [this] { ++changes; },
                .updated = [this](const object_update& update) { updates.push_back(update); },
-               .on_answered = [] {},
+               .on_answered =
+                   [this]
+               {
+                   if (halts_when_answered)
+                   {
+                       mirror.halt();
+                   }
+               },
                .known_era = [this] { return era; },
                .on_new_era = [this](std::uint64_t later) { era = later; },
                .on_earlier_era = [this](std::uint64_t) { ++earlier_eras; },
@@ -90,6 +97,7 @@
     int losses = 0;
     int earlier_eras = 0;
     std::optional<std::uint64_t> era;
+    bool halts_when_answered = false;
     object_mirror mirror;
 };
 
@@ -264,3 +272,34 @@
     CHECK(other.mirror.state() == present->mirror.state());
     CHECK(other.mirror.offer(lost->mirror.whole()) == update_result::not_newer);
 }
+
+// Guards against instances that go on watching after they have ended to read: an answer can make an
+// instance a surplus reader. On the test bench three of 471 did, for the whole day.
+TEST_CASE("a mirror that its own answer halts makes no further call")
+{
+    const auto last = GENERATE(as<std::string>(), "list", "quiet", "events", "gap");
+    INFO(last);
+    mirror_fixture fixture;
+    fixture.era = 1;
+    fixture.mirror.resume();
+    if (last != "list")
+    {
+        fixture.store.answer(10, {object("a", 3)});
+        fixture.end_watch_pause();
+    }
+    fixture.halts_when_answered = true;
+    if (last == "gap")
+    {
+        fixture.store.refuse_history(1);
+    }
+    else
+    {
+        const bool changed = last == "events" || last == "list";
+        fixture.store.answer(
+            12, changed ? std::vector{object("b", 11)} : std::vector<core::store_object>());
+    }
+    fixture.timers.advance(10s);
+    CHECK_FALSE(fixture.store.pending);
+    // The answer itself is used.
+    CHECK(fixture.mirror.objects().contains(last == "quiet" || last == "gap" ? "k/a" : "k/b"));
+}
