--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -1,7 +1,9 @@
 """Fault soak: instances, store and callers on loopback, with seeded faults from outside.
 
-Usage: ./run soak [--seeds N] [--seed FIRST] [--jobs N] [--short] | --regressions
-Exit code 0 if every seed kept every promise. Logs of failed seeds are kept.
+Usage: ./run soak [--seeds N] [--seed FIRST] [--jobs N] [--short | --stops SECONDS] [--instances N]
+                  [--busy N] [--keep] | --regressions
+Exit code 0 if every seed kept every promise. Logs of failed seeds are kept: each process's own,
+faults.log, connections.log (how connections ended, on both sides) and violations.log.
 """
 import argparse
 import asyncio
--- a/tools/soak/stops.py
+++ b/tools/soak/stops.py
@@ -101,7 +101,7 @@
 
 
 class StopSeries:
-    """Runs planned stops and other planned work until it is cancelled. Not for two loops at a time."""
+    """Runs planned stops and other planned work until it is cancelled."""
 
     def __init__(self, world, pick, pause):
         self.world = world
