--- a/packages/entry/tests/support/virtual_instance.cpp
+++ b/packages/entry/tests/support/virtual_instance.cpp
@@ -134,10 +134,13 @@
 
 void virtual_instance::settle()
 {
+    // A request and its answer take up to eight passes, with a new connection to the target.
     for (int pass = 0; pass < 8; ++pass)
     {
+        barrier_.wait();
         event_base_loop(loop.base(), EVLOOP_NONBLOCK);
     }
+    barrier_.wait();
 }
 
 void virtual_instance::settle_until(const std::function<bool()>& condition)
--- a/packages/entry/tests/support/virtual_instance.hpp
+++ b/packages/entry/tests/support/virtual_instance.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/instance_fixture.hpp"
+#include "support/loopback_barrier.hpp"
 #include "support/plain_caller.hpp"
 
 #include <catkintally/core/time/manual_timer_service.hpp>
@@ -105,6 +106,7 @@
 private:
     void end_process();
 
+    loopback_barrier barrier_;
     std::vector<std::string> ids_;
     std::map<std::string, work> work_;
     core::time_point stopped_at_{};
