A target may pause in reading a long body

What callers saw: an own 502 `connection_lost` for an upload at which the target was at work.

Cause: connections to targets had TCP_USER_TIMEOUT, so that a machine that is gone is noticed. Linux applies it to a closed receive window as well, even if the other machine acknowledges every probe: a target that left the rest of a body unread for 3 s lost its connection.

Now the instance looks itself, four times in that time, while a request is under way: segments that are unacknowledged, or at least three unanswered probes, and no acknowledgement for the whole time end the connection. Probes alone do not, since their interval grows beyond the limit while they are answered.

A machine that is really gone was not part of a run: on loopback every segment is acknowledged.

--- a/packages/entry/include/catkintally/entry/targets/target_connection.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_connection.hpp
@@ -47,6 +47,9 @@
     void on_connected();
     void start_reader();
     void write_request();
+    /// Repeatedly checks that the target's machine acknowledges what is sent.
+    void schedule_acknowledgement_check();
+    void check_acknowledgements();
     void read_answer();
     void end_of_input();
     void handle_answer();
@@ -68,6 +71,7 @@
     core::time_point sent_at_{};
     core::time_point idle_until_{};
     core::timer_id connect_timer_ = 0;
+    core::timer_id acknowledgement_timer_ = 0;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -1,3 +1,4 @@
+#include <catkintally/entry/targets/acknowledgement_check.hpp>
 #include <catkintally/entry/targets/target_connection.hpp>
 
 #include <event2/buffer.h>
@@ -23,6 +24,9 @@
 /// Maximum number of bytes that libevent reads from a socket at once.
 constexpr std::size_t max_read_size = 16'384;
 
+/// Checks of a connection within the time for which bytes may stay unacknowledged.
+constexpr int acknowledgement_checks = 4;
+
 bool has_body(const std::string& method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -83,6 +87,7 @@
 target_connection::~target_connection()
 {
     timers_.cancel(connect_timer_);
+    timers_.cancel(acknowledgement_timer_);
     bufferevent_free(stream_);
 }
 
@@ -150,9 +155,6 @@
     const int on = 1;
     const int socket = bufferevent_getfd(stream_);
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const auto unacknowledged = static_cast<unsigned int>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(limits_.unacknowledged_time).count());
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
     write_request();
 }
 
@@ -185,6 +187,25 @@
     {
         append_shared(output, request_.body);
     }
+    schedule_acknowledgement_check();
+}
+
+void target_connection::schedule_acknowledgement_check()
+{
+    acknowledgement_timer_ = timers_.schedule_after(
+        limits_.unacknowledged_time / acknowledgement_checks, [this] { check_acknowledgements(); });
+}
+
+void target_connection::check_acknowledgements()
+{
+    schedule_acknowledgement_check();
+    tcp_info state{};
+    socklen_t length = sizeof state;
+    if (getsockopt(bufferevent_getfd(stream_), IPPROTO_TCP, TCP_INFO, &state, &length) == 0 &&
+        lacks_acknowledgements(state, timers_.now() - sent_at_, limits_.unacknowledged_time))
+    {
+        fail("sent bytes were not acknowledged");
+    }
 }
 
 void target_connection::on_readable(bufferevent*, void* self)
@@ -287,6 +308,7 @@
         return;
     }
     timers_.cancel(std::exchange(connect_timer_, 0));
+    timers_.cancel(std::exchange(acknowledgement_timer_, 0));
     if (reader_ != nullptr)
     {
         end.interim_fields = reader_->interim_fields();
--- a/packages/entry/tests/support/scripted_target.cpp
+++ b/packages/entry/tests/support/scripted_target.cpp
@@ -94,7 +94,15 @@
             }
         },
         this);
-    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    bufferevent_enable(stream, EV_WRITE);
+    if (script.unread)
+    {
+        bufferevent_disable(stream, EV_READ);
+    }
+    else
+    {
+        bufferevent_enable(stream, EV_READ);
+    }
 }
 
 void scripted_target::on_data(bufferevent* stream)
@@ -181,6 +189,15 @@
     }
 }
 
+void scripted_target::resume_reading()
+{
+    script.unread = false;
+    for (const auto& [stream, from] : connections_)
+    {
+        bufferevent_enable(stream, EV_READ);
+    }
+}
+
 void scripted_target::send_all(const std::string& text)
 {
     for (const auto& [stream, from] : connections_)
--- a/packages/entry/tests/support/scripted_target.hpp
+++ b/packages/entry/tests/support/scripted_target.hpp
@@ -28,6 +28,8 @@
     bool close_on_accept = false;
     /// Closes the connection once this many bytes of the request have arrived; 0: never.
     std::size_t close_after_bytes = 0;
+    /// Reads nothing until resume_reading().
+    bool unread = false;
     /// Sent repeatedly after any other text until the peer closes the connection.
     std::string endless{};
     /// Delays the response until release().
@@ -55,6 +57,9 @@
     /// Responds to every held request and holds no further ones.
     void release();
 
+    /// Reads what connections have received, and everything from now on.
+    void resume_reading();
+
     /// Sends unsolicited text on every open connection.
     void send_all(const std::string& text);
 
--- a/packages/entry/tests/targets/target_connection_test.cpp
+++ b/packages/entry/tests/targets/target_connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catkintally/core/time/manual_timer_service.hpp>
 #include <catkintally/entry/targets/target_connection.hpp>
+#include <catkintally/runtime/time/libevent_timer_service.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -86,3 +87,37 @@
     }
     CHECK_FALSE(connection.is_reusable());
 }
+
+// Guards against a request that is broken off at work because its target leaves a long body unread
+// for a while: Linux then ends a connection with TCP_USER_TIMEOUT, even if the target's machine
+// answers every probe of the closed window.
+TEST_CASE("a target may pause in reading a long body")
+{
+    runtime::event_loop loop;
+    runtime::libevent_timer_service timers(loop);
+    scripted_target target(loop, {.unread = true});
+    target_connection connection(loop, timers, {.unacknowledged_time = 100ms}, target.address());
+    target_request request;
+    request.method = "POST";
+    request.uri = "/";
+    // More than the buffers of both sockets hold.
+    request.body = std::make_shared<const std::string>(16'000'000, 'x');
+    request.may_send = [] { return true; };
+    std::vector<dispatch_result> ends;
+    connection.send(request, [&](const dispatch_end& end) { ends.push_back(end.result); });
+    // Several times the time for which bytes may stay unacknowledged.
+    bool paused_long = false;
+    timers.schedule_after(1s, [&] { paused_long = true; });
+    while (!paused_long)
+    {
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    CHECK(ends.empty());
+    target.resume_reading();
+    while (ends.empty())
+    {
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    CHECK(ends == std::vector<dispatch_result>{dispatch_result::answered});
+    CHECK(target.requests == 1);
+}
