A stop also refuses what waits for its connection to a target

What callers saw: around SIGTERM, a 502 of unknown outcome at the end of the grace for a request that could have been refused as not run.

Cause: whether a request may outlast the process was checked when it was granted, but not again when its connection to the target stood, up to a second later. A request that was granted just before the stop was passed on in it.

Now the check before the first byte includes it; the request is refused with 503, not run, and its caller can send it to another instance.

The test failed before: the target got the request.

--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -227,7 +227,13 @@
                     .value = plan_.request_id,
                     .always = context_.dialect->responses_carry_request_id},
             // The fleet marks the grant as used by this call, so it is made once for each grant.
-            .may_send = [gateway = context_.gateway, grant] { return gateway->may_send(grant); }},
+            .may_send =
+                [weak = weak_from_this(), grant]
+            {
+                const auto self = weak.lock();
+                return self && !self->may_outlast_process() &&
+                       self->context_.gateway->may_send(grant);
+            }},
         [weak = weak_from_this(), grant](const dispatch_end& end)
         {
             if (const auto self = weak.lock())
--- a/packages/entry/tests/http/planned_stop_test.cpp
+++ b/packages/entry/tests/http/planned_stop_test.cpp
@@ -60,7 +60,16 @@
             granted.code = core::decision_code::granted;
             granted.target = "t";
             granted.address = target.address();
-            timers.schedule_after(wait, [answer, granted] { answer(granted); });
+            timers.schedule_after(
+                wait,
+                [this, answer, granted]
+                {
+                    answer(granted);
+                    if (stop_after_grant)
+                    {
+                        self->stop([this] { stopped = true; });
+                    }
+                });
             static_cast<void>(request);
         };
         hooks.gateway.cancel = [](core::request_id) {};
@@ -141,6 +150,8 @@
     scripted_target target{loop, {}};
     /// Reports that the target has lost the latest request.
     std::function<void(core::loss_cause)> report_loss;
+    /// Begins the stop while the connection to the target is being established.
+    bool stop_after_grant = false;
     /// How long admission takes.
     core::duration wait{};
     std::unique_ptr<instance> self;
@@ -271,6 +282,24 @@
     CHECK(fixture.run.size() == 1);
 }
 
+// Guards against a request that is passed on in a stop, although it may outlast the process,
+// because its connection to the target was being established when the stop began.
+TEST_CASE("a request whose connection is established after the stop began is refused if it may "
+          "outlast the grace")
+{
+    const bool outlasts = GENERATE(true, false);
+    stop_fixture fixture;
+    fixture.target.script.work = 5ms;
+    fixture.stop_after_grant = true;
+    fixture.send(fixture.connect(), "POST", outlasts ? 3s : 500ms);
+    for (int ms = 0; ms < 30 && fixture.self; ++ms)
+    {
+        fixture.step();
+    }
+    CHECK(fixture.requests.at("r0").status == (outlasts ? 503 : 200));
+    CHECK(fixture.target.requests == (outlasts ? 0 : 1));
+}
+
 // Guards against a whole response that is thrown away, and answered with a 502 or 504, because this
 // process was paused: a timer that has become due meanwhile fires before the response is handled.
 TEST_CASE("a response that has been read is delivered although a timer would end its request")
