Settings: addresses are complete, and a reload that fails says why

Looked for: processes that end around SIGHUP because the file is malformed, missing, half-written, or fails to be applied, also many times in a row and without a signal. They do not: Boost.LEAF's handlers take exceptions, too. settings_reload_test guards it.

Found beside it: the loader accepted addresses that evutil_parse_sockaddr_port reads as something else (127.0.0.1:80x, ::1:80, 0127.0.0.1:80). They are refused with file, section and key now; the loader's test of them failed before. Scope ids (fe80::1%lo), which no store address could have, are refused for listeners as well.

--- a/packages/entry/src/process/settings_reload.cpp
+++ b/packages/entry/src/process/settings_reload.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <exception>
 #include <utility>
 
 #include <sys/stat.h>
@@ -88,6 +89,9 @@
         [](const runtime::settings_error& error) {
             log_event(runtime::event_id::settings_invalid, {{"error", error.message()}});
         },
+        [](const std::exception& error) {
+            log_event(runtime::event_id::settings_invalid, {{"error", error.what()}});
+        },
         [] { log_event(runtime::event_id::settings_invalid); });
 }
 
--- a/packages/runtime/src/settings/settings_loader.cpp
+++ b/packages/runtime/src/settings/settings_loader.cpp
@@ -1,3 +1,4 @@
+#include <catkintally/core/table/endpoint.hpp>
 #include <catkintally/runtime/settings/setting_descriptor.hpp>
 #include <catkintally/runtime/settings/settings_loader.hpp>
 
@@ -21,13 +22,13 @@
 
 namespace leaf = boost::leaf;
 
-/// An address is accepted only if it is numeric and names a port.
+/// An address is accepted only if it is numeric and names a port. evutil_parse_sockaddr_port, which
+/// listeners use, ignores what follows the port and takes an IPv6 address without one.
 bool is_address(const std::string& text)
 {
     sockaddr_storage storage{};
     int length = sizeof storage;
-    const auto colon = text.rfind(':');
-    return colon != std::string::npos && colon + 1 < text.size() && text.back() != ']' &&
+    return core::parse_endpoint(text) &&
            evutil_parse_sockaddr_port(
                text.c_str(), reinterpret_cast<sockaddr*>(&storage), &length) == 0;
 }
--- a/packages/runtime/tests/settings/settings_loader_test.cpp
+++ b/packages/runtime/tests/settings/settings_loader_test.cpp
@@ -62,6 +62,43 @@
     CHECK(refusal(minimal + sample.added) == sample.line);
 }
 
+// Guards against an address that is accepted although it cannot be used, or not as it is written.
+TEST_CASE("an address is accepted only if it is complete")
+{
+    struct row
+    {
+        std::string address;
+        bool accepted;
+    };
+    const auto& sample = GENERATE(values<row>(
+        {{"127.0.0.1:80", true},
+         {"127.0.0.1:65535", true},
+         {"[::1]:80", true},
+         {"::1:80", false},
+         {"fe80::1", false},
+         {"[::1]x:80", false},
+         {"[::1]:", false},
+         {"127.0.0.1", false},
+         {"127.0.0.1:", false},
+         {"127.0.0.1:0", false},
+         {"127.0.0.1:65536", false},
+         {"127.0.0.1:-1", false},
+         {"127.0.0.1:+80", false},
+         {"127.0.0.1: 80", false},
+         {"127.0.0.1:80x", false},
+         {"127.0.0.1:80.5", false},
+         {"0127.0.0.1:80", false},
+         {"[127.0.0.1]:80", false}}));
+    INFO(sample.address);
+    CHECK(
+        refusal(minimal + "[admin]\naddress = " + sample.address + "\n").empty() ==
+        sample.accepted);
+    const std::string instance = "[instance]\nid = a1\nfailure_domain = east\n";
+    CHECK(
+        refusal(instance + "[platform]\naddresses = 127.0.0.1:1, " + sample.address + "\n")
+            .empty() == sample.accepted);
+}
+
 // Guards against start-up with a required key left out.
 TEST_CASE("a missing required key is refused")
 {
