Store addresses can be changed back while the process runs

What operators saw: after a reload that moved the store, a second one that named the former address again had no effect; the instance stayed with a store that may be gone.

Cause: reload compared the new addresses with those of the start.

--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -52,6 +52,8 @@
     runtime::event_loop& loop_;
     core::timer_service& timers_;
     const runtime::settings settings_;
+    /// Store addresses in use; a reload may have changed them.
+    std::vector<std::string> store_addresses_;
     core::target_dialect dialect_;
     platform::platform_api api_;
     /// Watches targets, with the settings' wait.
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -50,6 +50,7 @@
     : loop_(loop)
     , timers_(timers)
     , settings_(with_platform_limits(values))
+    , store_addresses_(values.platform.addresses)
     , dialect_(dialect_of(values))
     , api_(loop, timers, api_options(values.platform))
     , store_(api_, {.watch_wait = milliseconds(values.platform.watch_time_ms)})
@@ -261,8 +262,9 @@
 std::vector<std::string> probing_process::reload(const runtime::settings& values)
 {
     std::vector<std::string> applied;
-    if (values.platform.addresses != settings_.platform.addresses)
+    if (values.platform.addresses != store_addresses_)
     {
+        store_addresses_ = values.platform.addresses;
         api_.set_addresses(api_options(values.platform).addresses);
         applied.emplace_back("platform.addresses");
     }
