A request is not missing at its target while its body is under way

What callers saw: an idempotent request with a long body was broken off at work, and run again elsewhere or answered with an own 502 `target_lost`.

Cause: targets count a request when they have read it, while the instance counted it as sent from its first byte. Two reports during an upload, or while the target leaves the rest of the body unread, lacked it.

Now such a report counts only if the target's machine has acknowledged the whole request (nothing in the output buffer, SIOCOUTQ zero); otherwise the request is watched anew. Silence and a restart of the target need no such check: after them the attempt goes on anyway.

The test failed before: the upload was taken from the target, and the other one ran it. A report that crosses the last segment of the body remains possible.

--- a/packages/entry/include/catkintally/entry/targets/target_connection.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_connection.hpp
@@ -34,6 +34,9 @@
     /// True if bytes of the current request may have reached the target.
     [[nodiscard]] bool is_sent() const { return sent_; }
 
+    /// True if the target's machine has acknowledged the whole request.
+    [[nodiscard]] bool is_delivered() const;
+
     /// True if the next request may use this connection: it is open, and the target has neither
     /// closed it nor sent anything after the last answer.
     [[nodiscard]] bool is_reusable() const;
--- a/packages/entry/include/catkintally/entry/targets/target_pool.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_pool.hpp
@@ -38,6 +38,9 @@
     /// True if bytes of the request may have reached the target.
     [[nodiscard]] bool is_sent(dispatch_id id) const;
 
+    /// True if the target's machine has acknowledged the whole request.
+    [[nodiscard]] bool is_delivered(dispatch_id id) const;
+
     /// Ends a dispatch by closing its connection, so that a late answer is not received. The hook
     /// is not called. Unknown ids are ignored.
     void abandon(dispatch_id id);
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -309,6 +309,13 @@
         // A request that is not idempotent waits, since the target may still respond.
         return;
     }
+    if (sent && cause == core::loss_cause::not_at_target &&
+        !context_.pool->is_delivered(found->dispatch))
+    {
+        // Targets report a request when they have read it.
+        watch(grant);
+        return;
+    }
     exclude(found->target);
     if (sent && cause != core::loss_cause::not_at_target)
     {
--- a/packages/entry/src/targets/target_connection.cpp
+++ b/packages/entry/src/targets/target_connection.cpp
@@ -11,8 +11,10 @@
 #include <cerrno>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace catkintally::entry
@@ -276,6 +278,13 @@
          .has_surplus = has_surplus});
 }
 
+bool target_connection::is_delivered() const
+{
+    int unacknowledged = 0;
+    return sent_ && evbuffer_get_length(bufferevent_get_output(stream_)) == 0 &&
+           ioctl(bufferevent_getfd(stream_), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 bool target_connection::is_reusable() const
 {
     const int socket = bufferevent_getfd(stream_);
--- a/packages/entry/src/targets/target_pool.cpp
+++ b/packages/entry/src/targets/target_pool.cpp
@@ -150,6 +150,13 @@
            found->second.connection->is_sent();
 }
 
+bool target_pool::is_delivered(dispatch_id id) const
+{
+    const auto found = active_.find(id);
+    return found != active_.end() && found->second.connection &&
+           found->second.connection->is_delivered();
+}
+
 bool target_pool::has_ended(dispatch_id id) const
 {
     const auto found = active_.find(id);
--- a/packages/entry/tests/http/target_loss_test.cpp
+++ b/packages/entry/tests/http/target_loss_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <utility>
 
 using namespace catkintally::entry;
 using catkintally::core::completion_outcome;
@@ -148,6 +149,44 @@
     CHECK(caller.received.empty());
 }
 
+// Guards against an upload that is broken off, and repeated or answered with a 502, because its
+// target does not report it before it has read the whole body.
+TEST_CASE("a request is not missing at its target while its body is under way")
+{
+    const bool read_at_once = GENERATE(false, true);
+    instance_fixture fixture;
+    auto table = std::make_shared<catkintally::core::table_snapshot>();
+    auto& desk = table->services["desk"].service;
+    desk.name = "desk";
+    desk.host = "desk.example";
+    desk.max_body_bytes = 8'000'000;
+    desk.idempotent_methods = {"POST"};
+    fixture.self->apply_table(table);
+    scripted_target target(fixture.loop, {.unread = !read_at_once, .hold = true});
+    scripted_target other(fixture.loop, {});
+    fixture.grant({target.address(), other.address()});
+    raw_caller caller(fixture.loop, fixture.self->front().port());
+    const std::string body(8'000'000, 'x');
+    caller.send(
+        "POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body);
+    fixture.run_until([&] { return !fixture.loss_callbacks.empty() && target.accepted == 1; });
+    fixture.run_until([&] { return target.requests == (read_at_once ? 1 : 0); });
+    fixture.run_until_idle();
+    const auto report_loss = std::exchange(fixture.loss_callbacks, {}).begin()->second;
+    report_loss(loss_cause::not_at_target);
+    fixture.run_until_idle();
+    CHECK(fixture.asked.size() == (read_at_once ? 2 : 1));
+    // It is watched again.
+    CHECK(fixture.loss_callbacks.size() == 1);
+    target.resume_reading();
+    target.release();
+    std::optional<std::string> response;
+    fixture.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == 200);
+    CHECK(other.requests == (read_at_once ? 1 : 0));
+}
+
 // Guards against targets that go on working after a request with two attempts has ended, and
 // against a second response to its caller.
 TEST_CASE("all attempts end together with their request")
