--- a/packages/entry/include/catkintally/entry/targets/target_connection.hpp
+++ b/packages/entry/include/catkintally/entry/targets/target_connection.hpp
@@ -34,6 +34,9 @@
     /// True if bytes of the current request may have reached the target.
     [[nodiscard]] bool is_sent() const { return sent_; }
 
+    /// True if the target's machine has acknowledged the whole request.
+    [[nodiscard]] bool is_delivered() const;
+
     /// True if the next request may use this connection: it is open, and the target has neither
     /// closed it nor sent anything after the last answer.
     [[nodiscard]] bool is_reusable() const;
@@ -47,6 +50,9 @@
     void on_connected();
     void start_reader();
     void write_request();
+    /// Repeatedly checks that the target's machine acknowledges what is sent.
+    void schedule_acknowledgement_check();
+    void check_acknowledgements();
     void read_answer();
     void end_of_input();
     void handle_answer();
@@ -68,6 +74,7 @@
     core::time_point sent_at_{};
     core::time_point idle_until_{};
     core::timer_id connect_timer_ = 0;
+    core::timer_id acknowledgement_timer_ = 0;
 };
 
 } // namespace catkintally::entry
--- a/packages/entry/tests/support/scripted_target.cpp
+++ b/packages/entry/tests/support/scripted_target.cpp
@@ -73,11 +73,15 @@
             // The output buffer is empty: write the next segment.
             auto* self = static_cast<scripted_target*>(context);
             const auto found = self->connections_.find(to);
-            if (found != self->connections_.end() && !found->second.unsent.empty())
+            if (found == self->connections_.end() || found->second.held)
+            {
+                return;
+            }
+            if (!found->second.unsent.empty())
             {
                 self->answer(to);
             }
-            else if (found != self->connections_.end() && !found->second.held)
+            else
             {
                 const std::string& more = self->script.endless;
                 self->endless_bytes += more.size();
@@ -94,7 +98,7 @@
             }
         },
         this);
-    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    bufferevent_enable(stream, script.unread ? EV_WRITE : EV_READ | EV_WRITE);
 }
 
 void scripted_target::on_data(bufferevent* stream)
@@ -181,6 +185,15 @@
     }
 }
 
+void scripted_target::resume_reading()
+{
+    script.unread = false;
+    for (const auto& [stream, from] : connections_)
+    {
+        bufferevent_enable(stream, EV_READ);
+    }
+}
+
 void scripted_target::send_all(const std::string& text)
 {
     for (const auto& [stream, from] : connections_)
