--- a/cmake/catkintally_package.cmake
+++ b/cmake/catkintally_package.cmake
@@ -34,3 +34,15 @@
     target_link_libraries(${name} PRIVATE ${ARG_LINK})
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
+
+# catkintally_fuzz_target(NAME SOURCES file ... LINK ...): libFuzzer program made of its own main file
+# and the sources that it tests, which are instrumented in this program only.
+function(catkintally_fuzz_target name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_compile_options(${name} PRIVATE
+        -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all)
+    target_link_options(${name} PRIVATE -fsanitize=fuzzer,address,undefined)
+    target_link_libraries(${name} PRIVATE ${ARG_LINK})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/fuzz)
+endfunction()
