Callers: a kept connection is not closed before its answer is delivered

A kept connection whose answer is in the kernel's buffer counts as idle. It was closed by FIN, and a second later altogether, whatever the caller had read; a further request of the caller then made the close a reset, and the rest of the answer was lost, in a planned stop and after the idle time.

Cause: the wait for the acknowledgement was with connections that have their last answer only. Now it holds for both kinds of close.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -121,7 +121,7 @@
     void probe_caller();
     void check_unread_caller();
     void end_if_closed();
-    void check_delivery();
+    void check_delivery(end_cause delivered);
     [[nodiscard]] bool awaits_first_request() const;
 
     core::timer_service& timers_;
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -444,7 +444,7 @@
     close_if_idle();
 }
 
-void caller_connection::check_delivery()
+void caller_connection::check_delivery(end_cause delivered)
 {
     // Until the answer is acknowledged, further input would let the kernel reset the closed
     // connection and drop the rest of the answer.
@@ -460,17 +460,18 @@
     }
     else if (unacknowledged == 0 && (input_ended_ || age > linger_time))
     {
-        end(end_cause::lingered);
+        end(delivered);
     }
 }
 
 void caller_connection::end_if_closed()
 {
-    if (peek_input(bufferevent_getfd(stream_)) == socket_input::ended ||
-        timers_.now() - last_progress_ > linger_time)
+    if (peek_input(bufferevent_getfd(stream_)) == socket_input::ended)
     {
         end(end_cause::idle);
+        return;
     }
+    check_delivery(end_cause::idle);
 }
 
 void caller_connection::check_timeouts()
@@ -510,7 +511,7 @@
         }
         break;
     case phase::lingering:
-        check_delivery();
+        check_delivery(end_cause::lingered);
         break;
     case phase::closing:
         end_if_closed();
