Callers: whether interim responses are understood is kept with each request

On a half-closed connection that carries requests of HTTP/1.1 and 1.0, the version of the last one decided: a 1.1 request at work with a 1.0 request behind it was run and not answered, and the other way round an interim response was sent where an HTTP/1.0 response is due.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -100,6 +100,8 @@
         std::uint64_t call = 0;
         bool bodiless = false;
         bool last = false;
+        /// The caller understands interim responses to this request.
+        bool accepts_interim = true;
         std::optional<caller_response> response;
     };
 
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -124,11 +124,18 @@
 
 void caller_connection::probe_caller()
 {
-    if (!reader_.accepts_interim_responses())
+    const bool none_accepts = std::none_of(
+        responses_.begin(), responses_.end(),
+        [](const pending_response& each) { return each.accepts_interim; });
+    if (none_accepts)
     {
         end(end_cause::caller_gone);
         return;
     }
+    if (!responses_.front().accepts_interim)
+    {
+        return;
+    }
     // The caller has closed the connection, or only its sending side and waits for its responses.
     // An interim response, which callers ignore, tells one from the other: a closed connection
     // answers it with a reset.
@@ -239,7 +246,11 @@
     }
     const std::uint64_t call = ++last_call_;
     responses_.push_back(
-        {.call = call, .bodiless = request.method == "HEAD", .last = last, .response = {}});
+        {.call = call,
+         .bodiless = request.method == "HEAD",
+         .last = last,
+         .accepts_interim = reader_.accepts_interim_responses(),
+         .response = {}});
     hooks_.request(call, std::move(request));
 }
 
--- a/packages/entry/tests/http/half_close_test.cpp
+++ b/packages/entry/tests/http/half_close_test.cpp
@@ -227,3 +227,29 @@
     CHECK(fixture.run.size() == (earlier ? 1 : 0));
     CHECK(fixture.self->front().connections() == 0);
 }
+
+// Guards against requests that are run and not answered, and against an interim response where an
+// HTTP/1.0 response is due, if a half-closed connection carries requests of both versions.
+TEST_CASE("a half-closed connection with requests of two versions gets its answers")
+{
+    const bool old_one_first = GENERATE(false, true);
+    INFO("HTTP/1.0 first: " << old_one_first);
+    virtual_instance fixture;
+    fixture.next_work.time = 300ms;
+    plain_caller caller(fixture.port);
+    std::vector<std::string> ids;
+    for (const bool old_one : {old_one_first, !old_one_first})
+    {
+        const std::string kept = old_one ? "Connection: keep-alive\r\n" : "";
+        caller.send(fixture.request("GET", 1s, kept, "body", old_one ? "HTTP/1.0" : "HTTP/1.1"));
+        ids.push_back(fixture.last_id());
+    }
+    caller.half_close();
+    fixture.run_for(250ms);
+    caller.read();
+    CHECK((!old_one_first || caller.interim == 0));
+    fixture.run_for(600ms);
+    fixture.read_all(caller, ids.size());
+    CHECK(caller.answers.size() == fixture.run.size());
+    fixture.check_answers(caller, ids);
+}
