--- a/packages/entry/src/http/request_reader.cpp
+++ b/packages/entry/src/http/request_reader.cpp
@@ -105,9 +105,8 @@
     request_.fields = std::move(head->fields);
     const std::string* host = find_field(request_.fields, "Host");
     request_.host = host == nullptr ? "" : *host;
-    expects_continue_ = find_field(request_.fields, "Expect") != nullptr;
-
     accepts_interim_ = line.ends_with("1.1");
+    expects_continue_ = accepts_interim_ && find_field(request_.fields, "Expect") != nullptr;
     keeps_connection_ = allows_keep_alive(request_.fields, accepts_interim_);
     body_.emplace(
         parse_body_framing(request_.fields),
--- a/packages/entry/tests/http/stop_partial_requests_test.cpp
+++ b/packages/entry/tests/http/stop_partial_requests_test.cpp
@@ -160,3 +160,21 @@
     CHECK(caller.answers.size() == 2);
     fixture.check_answers(caller, ids);
 }
+
+// Guards against an interim response to a caller of HTTP/1.0, which does not know such responses.
+TEST_CASE("an expectation of an HTTP/1.0 request is ignored")
+{
+    virtual_instance fixture;
+    plain_caller caller(fixture.port);
+    const std::string text =
+        fixture.request("POST", 1s, "Expect: 100-continue\r\n", "body", "HTTP/1.0");
+    const std::size_t head = text.size() - std::string("body").size();
+    caller.send(text.substr(0, head));
+    fixture.run_for(50ms);
+    caller.read();
+    CHECK(caller.interim == 0);
+    caller.send(text.substr(head));
+    fixture.run_for(50ms);
+    fixture.read_all(caller, 1);
+    fixture.check_answers(caller, {fixture.last_id()});
+}
