--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -372,6 +372,8 @@
 
 void caller_connection::linger()
 {
+    // With both sides closed, the probe would take the connection for a failed one.
+    timers_.cancel(std::exchange(gone_timer_, 0));
     shutdown(bufferevent_getfd(stream_), SHUT_WR);
     phase_ = phase::lingering;
     last_progress_ = timers_.now();
--- a/packages/entry/tests/http/half_close_test.cpp
+++ b/packages/entry/tests/http/half_close_test.cpp
@@ -253,3 +253,19 @@
     CHECK(caller.answers.size() == fixture.run.size());
     fixture.check_answers(caller, ids);
 }
+
+// Guards against a metric that counts a half-closed caller with its answer among those who left.
+TEST_CASE("a half-closed caller that is answered does not count as gone")
+{
+    virtual_instance fixture;
+    fixture.next_work.time = 20ms;
+    plain_caller caller(fixture.port);
+    caller.send(fixture.request("GET"));
+    caller.half_close();
+    fixture.run_for(2s);
+    fixture.read_all(caller, 1);
+    CHECK(caller.answers.size() == 1);
+    const std::string metrics = fixture.self->metrics().exposition();
+    CHECK(metrics.find("how=\"caller_gone\"") == std::string::npos);
+    CHECK(metrics.find("how=\"lingered\"") != std::string::npos);
+}
