Planned stop: a send buffer that the kernel has enlarged is not made smaller

Found by the review of the incident, by reading: where net.core.wmem_max has its default, asking for a larger buffer shrinks one that the kernel had adjusted beyond it, in the last moments of a stop. Not shown by a test: this machine's limit is larger.

--- a/packages/entry/src/http/socket_state.cpp
+++ b/packages/entry/src/http/socket_state.cpp
@@ -17,6 +17,10 @@
 {
 
 constexpr std::size_t max_send_buffer = 16'777'216;
+
+/// Largest send buffer that a process may ask for where net.core.wmem_max has its default.
+constexpr int usual_buffer_limit = 2 * 212'992;
+
 constexpr int max_discard_rounds = 64;
 
 } // namespace
@@ -63,8 +67,10 @@
         static_cast<int>(std::min<std::size_t>((queued + bytes) * overhead, max_send_buffer));
     int size = 0;
     socklen_t length = sizeof size;
-    // Setting a size turns off the kernel's own adjustment, so that a larger buffer is kept.
-    if (getsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, &length) == 0 && size < wanted)
+    // Setting a size turns off the kernel's own adjustment and is clipped to net.core.wmem_max, so
+    // a buffer that is larger than the usual limit is left alone.
+    if (getsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, &length) == 0 &&
+        size < std::min(wanted, usual_buffer_limit))
     {
         setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &wanted, sizeof wanted);
     }
