Readers: word before the lists, and the others wait for them once

They draw delays of up to 250 ms, but the first word comes only after all lists, and the list of the targets is 17 pages, 150 ms. Ruled out: a word of failure.

Now an instance says so when its first, cheap call is answered (reader_state answered). The others wait for its lists: once until a reader is known again, half a second at most, and not after it has failed. An instance that is turned away never says it, so the others go on as before; the tests of that are unchanged.

--- a/packages/core/include/catkintally/core/news/reader_election.hpp
+++ b/packages/core/include/catkintally/core/news/reader_election.hpp
@@ -56,9 +56,11 @@
 /// instances forward. The decision is local and there is no leader: each instance uses the readers'
 /// reports on their store calls. When these stop or report failure, every instance calls the store
 /// once within `takeover_spread` unless it hears of one that the store answers; with exponential
-/// delays, few do if the store answers most. The store may be rejecting all but one instance, so a
-/// number of failures does not stop the others. While it answers nobody, four instances keep
-/// calling at short intervals, and each other one calls again 2 to 3 s after its last failure.
+/// delays, few do if the store answers most. Lists can take as long as that delay, so word goes out
+/// before them, and the others wait for their end once, for half a second at most. The store may be
+/// rejecting all but one instance, so a number of failures does not stop the others. While it
+/// answers nobody, four instances keep calling at short intervals, and each other one calls again 2
+/// to 3 s after its last failure.
 class reader_election
 {
 public:
@@ -73,6 +75,10 @@
     /// Records a reader's report on its store calls; `age` is the age of the report.
     void on_reader_state(const std::string& reader, reader_state state, duration age);
 
+    /// Records that the store has answered the first call of this instance, which lists the objects
+    /// now. Ignored if this instance is not a reader.
+    void on_store_probed();
+
     /// Records the outcome of a store call of this instance; `reached` is true if the store
     /// answered. Ignored if this instance is not a reader.
     void on_store_call(bool reached);
@@ -95,6 +101,8 @@
         none,
         /// No reader has reported success recently.
         updates,
+        /// The same, but another instance is listing the objects.
+        lists,
         /// The same, but the last call of this instance has failed.
         retry,
         /// There are fewer readers than `desired_readers`.
@@ -106,6 +114,8 @@
         std::optional<time_point> failed;
         /// When its first call was in progress.
         std::optional<time_point> asking;
+        /// When its first call was answered and it began to list the objects.
+        std::optional<time_point> answered;
     };
 
     void record_state(const std::string& name, reader_state state, time_point at);
@@ -122,6 +132,9 @@
     [[nodiscard]] bool has_lost_readers() const;
     [[nodiscard]] std::size_t failing_readers() const;
     [[nodiscard]] std::size_t asking_readers() const;
+    /// True if this instance leaves the store to another one that is listing the objects.
+    [[nodiscard]] bool awaits_lists() const;
+    [[nodiscard]] bool is_listing_elsewhere() const;
     [[nodiscard]] bool is_recent(const std::optional<time_point>& when) const;
     [[nodiscard]] duration random_within(duration span);
     /// Random delay of at most `span`, distributed so that only a few of many instances draw a
@@ -134,6 +147,9 @@
     std::optional<time_point> last_reached_;
     /// Once a call of this instance has failed: when it may try again without being a reader.
     std::optional<time_point> retry_at_;
+    /// While no reader is known that the store answers: how long this instance waits at most for
+    /// another one's lists.
+    std::optional<time_point> lists_until_;
     bool reading_ = false;
     bool was_fresh_ = false;
     need planned_ = need::none;
--- a/packages/core/src/news/reader_election.cpp
+++ b/packages/core/src/news/reader_election.cpp
@@ -29,6 +29,10 @@
 /// An instance whose first call started this long ago has received its answer or has given up.
 constexpr duration asking_timeout = std::chrono::seconds(1);
 
+/// Time that lists may take. A list of the targets of a large site takes some 20 pages. Short,
+/// because the store may answer the first call of an instance and none of its lists.
+constexpr duration list_timeout = milliseconds(500);
+
 /// Time after a failed call in which an instance leaves the next call to instances that have not
 /// failed. Each one calls again within the longer time, because the store may be rejecting all
 /// others.
@@ -154,6 +158,37 @@
     record_state(reader, state, options_.timers->now() - age);
 }
 
+bool reader_election::is_listing_elsewhere() const
+{
+    return std::any_of(
+        readers_.begin(), readers_.end(),
+        [this](const auto& each)
+        {
+            const auto& answered = each.second.answered;
+            return each.first != options_.self && answered &&
+                   options_.timers->now() - *answered < list_timeout;
+        });
+}
+
+bool reader_election::awaits_lists() const
+{
+    return lists_until_ && options_.timers->now() < *lists_until_ && is_listing_elsewhere();
+}
+
+void reader_election::on_store_probed()
+{
+    if (!reading_)
+    {
+        return;
+    }
+    record_state(options_.self, reader_state::answered, options_.timers->now());
+    // Each announcement reaches every instance, and the others wait only without a reader.
+    if (has_lost_readers())
+    {
+        options_.announce(reader_state::answered);
+    }
+}
+
 void reader_election::on_store_call(bool reached)
 {
     if (!reading_)
@@ -196,15 +231,21 @@
     {
     case reader_state::reached:
         recorded = {
-            .reached = std::max(recorded.reached.value_or(at), at), .failed = {}, .asking = {}};
+            .reached = std::max(recorded.reached.value_or(at), at),
+            .failed = {},
+            .asking = {},
+            .answered = {}};
         last_reached_ = std::max(last_reached_.value_or(at), at);
         break;
     case reader_state::failed:
-        recorded = {.reached = {}, .failed = at, .asking = {}};
+        recorded = {.reached = {}, .failed = at, .asking = {}, .answered = {}};
         break;
     case reader_state::asking:
         recorded.asking = at;
         break;
+    case reader_state::answered:
+        recorded.answered = at;
+        break;
     }
     if (!std::exchange(was_fresh_, is_fresh()) && was_fresh_ && options_.on_fresh_again)
     {
@@ -223,10 +264,19 @@
             const time_point last = std::max(
                 {each.second.reached.value_or(time_point{}),
                  each.second.failed.value_or(time_point{}),
-                 each.second.asking.value_or(time_point{})});
+                 each.second.asking.value_or(time_point{}),
+                 each.second.answered.value_or(time_point{})});
             return now - last > reader_expiry;
         });
     was_fresh_ = is_fresh();
+    if (!has_lost_readers())
+    {
+        lists_until_.reset();
+    }
+    else if (!lists_until_ && is_listing_elsewhere())
+    {
+        lists_until_ = now + list_timeout;
+    }
 
     if (reading_ && is_redundant())
     {
@@ -272,7 +322,7 @@
 {
     if (has_lost_readers())
     {
-        return has_failed_lately() ? need::retry : need::updates;
+        return awaits_lists() ? need::lists : has_failed_lately() ? need::retry : need::updates;
     }
     // Instances whose first call is pending count as readers. With several instances failing, a
     // further one would probably fail, too.
@@ -299,6 +349,15 @@
                 : options_.is_seed ? random_within(max_seed_start_delay)
                                    : suppression_delay(options_.start_spread);
         break;
+    case need::lists:
+        start_timer_ = options_.timers->schedule_after(
+            *lists_until_ - options_.timers->now(),
+            [this]
+            {
+                start_timer_ = 0;
+                evaluate();
+            });
+        return;
     case need::retry:
         delay = *retry_at_ - options_.timers->now();
         break;
--- a/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
+++ b/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
@@ -43,6 +43,8 @@
     /// Called with whether the store answered: false for each failed call; true for each answer
     /// about targets once all kinds have been answered since the last failure; may be empty.
     std::function<void(bool reached)> on_call_result{};
+    /// Called when the store has answered the cheap call that comes before lists; may be empty.
+    std::function<void()> on_probed{};
 };
 
 /// Era of the store, and how it became known.
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -88,7 +88,8 @@
         .retry_budget_percent = limits.retry_percent,
         .publish = [this](const auto& table) { use_table(table); },
         .updated = [this](const object_update& update) { news_->broadcast_update(update); },
-        .on_call_result = [this](bool reached) { duty_->on_store_call(reached); }});
+        .on_call_result = [this](bool reached) { duty_->on_store_call(reached); },
+        .on_probed = [this] { duty_->on_store_probed(); }});
 }
 
 void probing_process::make_news()
--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -178,6 +178,10 @@
                 on_call_failed(index);
                 return;
             }
+            if (options_.on_probed)
+            {
+                options_.on_probed();
+            }
             if (unreachable_since_)
             {
                 // The others follow when this one is answered.
