--- a/packages/entry/tests/process/process_stop_test.cpp
+++ b/packages/entry/tests/process/process_stop_test.cpp
@@ -6,8 +6,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <event2/event.h>
-
 #include <csignal>
 
 using namespace catkintally;
@@ -42,12 +40,11 @@
     const std::function<void()>& disturb)
 {
     REQUIRE(self.start());
-    bool stopped = false;
     int stops = 0;
     const auto stop = [&]
     {
         ++stops;
-        self.stop([&] { stopped = true; });
+        self.stop([&] { loop.stop(); });
     };
     timers.schedule_after(20ms, stop);
     timers.schedule_after(20ms, stop);
@@ -56,10 +53,7 @@
         timers.schedule_after(at, disturb);
     }
     timers.schedule_after(60ms, stop);
-    while (!stopped)
-    {
-        event_base_loop(loop.base(), EVLOOP_ONCE);
-    }
+    loop.run();
     CHECK(stops >= 2);
 }
 
