Callers: an unacknowledged FIN does not hold a connection

Found by the review of the incident: an idle caller whose machine has gone held a planned stop until its end, because the FIN counts as unacknowledged.

--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -427,11 +427,6 @@
 
 void caller_connection::close_if_idle()
 {
-    if (phase_ == phase::closing)
-    {
-        end_if_closed();
-        return;
-    }
     const int socket = bufferevent_getfd(stream_);
     if (phase_ != phase::open || is_busy() || peek_input(socket) != socket_input::none)
     {
@@ -461,7 +456,9 @@
 {
     // Until the answer is acknowledged, further input would let the kernel reset the closed
     // connection and drop the rest of the answer.
-    const std::size_t unacknowledged = unacknowledged_bytes(bufferevent_getfd(stream_)).value_or(0);
+    // The FIN has been sent and counts as one byte.
+    const std::size_t with_fin = unacknowledged_bytes(bufferevent_getfd(stream_)).value_or(0);
+    const std::size_t unacknowledged = with_fin - std::min<std::size_t>(with_fin, 1);
     if (unacknowledged != std::exchange(unacknowledged_bytes_, unacknowledged))
     {
         last_progress_ = timers_.now();
--- a/packages/entry/tests/http/stop_callers_test.cpp
+++ b/packages/entry/tests/http/stop_callers_test.cpp
@@ -165,7 +165,7 @@
     CHECK(stream.caller.told_to_close);
 }
 
-// Guards against an answer that is in the kernel's send buffer when the process ends, and is dropped
+// Guards against an answer that is in the send buffer when the process ends, and is dropped
 // because the caller sends another request before it reads.
 TEST_CASE("answers survive a caller that sends on and reads once the process has ended")
 {
