Stop: names, and a request that has ended is not ended again

The hook that says that an instance drains, and the state of a connection whose sending side is closed, were both called closing.

--- a/packages/entry/include/catkintally/entry/http/caller_connection.hpp
+++ b/packages/entry/include/catkintally/entry/http/caller_connection.hpp
@@ -30,8 +30,8 @@
     /// The connection has ended. Called once, never from within a member function of the
     /// connection.
     std::function<void(const connection_summary&)> ended;
-    /// Returns true if responses should close their connections.
-    std::function<bool()> closing;
+    /// Returns true once each connection is to end after the requests that have arrived on it.
+    std::function<bool()> draining;
     /// Returns the current limits.
     std::function<const core::caller_limits&()> limits;
     /// Memory budget for bodies; may be null.
@@ -92,7 +92,7 @@
         lingering,
         /// The sending side was closed while no request was due. Input stays unread, so that the
         /// caller of a request that crosses the close does not take it for one that was read.
-        closing,
+        half_closed,
         ended
     };
     struct pending_response
--- a/packages/entry/src/http/caller_connection.cpp
+++ b/packages/entry/src/http/caller_connection.cpp
@@ -190,7 +190,7 @@
     reading_ = true;
     take_requests(input);
     reading_ = false;
-    if (hooks_.closing())
+    if (hooks_.draining())
     {
         begin_drain();
     }
@@ -323,7 +323,7 @@
         // A response that closes its connection also ends the requests after it, which may already
         // have reached a target. Therefore only the last pending response closes the connection.
         const bool may_end = responses_.empty() && !receiving_;
-        due.last = due.last || (may_end && (due.response->close || hooks_.closing()));
+        due.last = due.last || (may_end && (due.response->close || hooks_.draining()));
         if (due.last && phase_ == phase::open)
         {
             stop_reading_requests();
@@ -417,7 +417,7 @@
                evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
     case phase::finishing:
     case phase::lingering:
-    case phase::closing:
+    case phase::half_closed:
         return true;
     case phase::ended:
         break;
@@ -434,7 +434,7 @@
     }
     bufferevent_disable(stream_, EV_READ);
     shutdown(socket, SHUT_WR);
-    phase_ = phase::closing;
+    phase_ = phase::half_closed;
     last_progress_ = timers_.now();
 }
 
@@ -523,7 +523,7 @@
     case phase::lingering:
         check_delivery(end_cause::lingered);
         break;
-    case phase::closing:
+    case phase::half_closed:
         end_if_closed();
         break;
     case phase::ended:
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -109,7 +109,8 @@
 
 void exchange::begin_stop()
 {
-    if (awaiting_admission_ && may_outlast_process())
+    // The end of another request may have ended this one.
+    if (pending_request_ != nullptr && awaiting_admission_ && may_outlast_process())
     {
         withdraw_admission();
         respond_without_retry(stopping_refusal());
@@ -118,7 +119,10 @@
 
 void exchange::end_now()
 {
-    end_without_answer(stopping_refusal());
+    if (pending_request_ != nullptr)
+    {
+        end_without_answer(stopping_refusal());
+    }
 }
 
 core::run_claim exchange::execution_claim() const
--- a/packages/entry/src/http/http_frontend.cpp
+++ b/packages/entry/src/http/http_frontend.cpp
@@ -228,7 +228,7 @@
                     .refusal = [this](request_error error) { return make_refusal(error); },
                     .ended = [this, id](const connection_summary& summary)
                     { remove_connection(id, summary); },
-                    .closing = [this] { return draining_; },
+                    .draining = [this] { return draining_; },
                     .limits = [this]() -> const core::caller_limits& { return options_.limits; },
                     .budget = options_.budget}));
 }
