--- a/cmake/catkintally_package.cmake
+++ b/cmake/catkintally_package.cmake
@@ -1,7 +1,9 @@
-# catkintally_library(NAME LINK ...): static library of packages/NAME from src/**.cpp, and a ctest
-# entry for tests/**_test.cpp. A package without sources yet becomes an interface library.
+# catkintally_library(NAME LINK ... [TEST_GROUPS TAG...]): static library of packages/NAME from
+# src/**.cpp, and a ctest entry for tests/**_test.cpp; tests with one of the tags have an entry of their
+# own each, so that long groups run side by side. A package without sources yet becomes an interface
+# library.
 function(catkintally_library name)
-    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "LINK;TEST_GROUPS" ${ARGN})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
     file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
     if(sources)
@@ -18,7 +20,13 @@
         add_executable(${name}_tests ${tests})
         target_include_directories(${name}_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/tests)
         target_link_libraries(${name}_tests PRIVATE catkintally_${name} catkintally_test_main)
-        add_test(NAME ${name}_tests COMMAND ${name}_tests)
+        set(others "")
+        foreach(tag ${ARG_TEST_GROUPS})
+            string(APPEND others "~[${tag}]")
+            add_test(NAME ${name}_tests_${tag} COMMAND ${name}_tests "[${tag}]")
+            set_tests_properties(${name}_tests_${tag} PROPERTIES TIMEOUT 120)
+        endforeach()
+        add_test(NAME ${name}_tests COMMAND ${name}_tests ${others})
         set_tests_properties(${name}_tests PROPERTIES TIMEOUT 120)
     endif()
 endfunction()
--- a/packages/entry/tests/http/half_close_test.cpp
+++ b/packages/entry/tests/http/half_close_test.cpp
@@ -24,7 +24,7 @@
 
 // Guards against a caller that closes its sending side after its request, as HTTP/1.1 allows, and
 // gets no answer because it is taken for one that has gone.
-TEST_CASE("a caller that closes its sending side gets the whole answer")
+TEST_CASE("a caller that closes its sending side gets the whole answer", "[stop]")
 {
     const std::string method = GENERATE("GET", "POST");
     const auto work = GENERATE(5ms, 300ms, 700ms);
@@ -70,7 +70,7 @@
 
 // Guards against an interim response inside an earlier answer, and against an answer that is lost
 // because the one before it is still being read.
-TEST_CASE("a half-closed caller that reads slowly gets all answers whole")
+TEST_CASE("a half-closed caller that reads slowly gets all answers whole", "[stop]")
 {
     const auto work = GENERATE(5ms, 800ms);
     const bool stopping = GENERATE(false, true);
@@ -110,7 +110,7 @@
 
 // Guards against a target that works on for a caller that has closed its connection, and, if a
 // caller may close its sending side alone, against taking the one for the other.
-TEST_CASE("a caller that closes its connection is noticed while its target works")
+TEST_CASE("a caller that closes its connection is noticed while its target works", "[stop]")
 {
     enum class way
     {
@@ -175,7 +175,7 @@
 
 // Guards against a closed connection that is not noticed because its caller has left bytes unread
 // or unsent, or has sent more than the instance reads.
-TEST_CASE("a caller that closes its connection with unread input is noticed")
+TEST_CASE("a caller that closes its connection with unread input is noticed", "[stop]")
 {
     const std::size_t body = GENERATE(2U, 280'000U);
     const std::size_t further = GENERATE(0U, 1U, 40U);
@@ -204,7 +204,7 @@
 
 // Guards against idle or incomplete connections that stay open after their callers have closed
 // their sending side.
-TEST_CASE("a half-closed connection without a complete request ends")
+TEST_CASE("a half-closed connection without a complete request ends", "[stop]")
 {
     const std::string text = GENERATE(
         "", "GET /pay HTTP/1.1\r\nHost: desk",
@@ -230,7 +230,7 @@
 
 // Guards against requests that are run and not answered, and against an interim response where an
 // HTTP/1.0 response is due, if a half-closed connection carries requests of both versions.
-TEST_CASE("a half-closed connection with requests of two versions gets its answers")
+TEST_CASE("a half-closed connection with requests of two versions gets its answers", "[stop]")
 {
     const bool old_one_first = GENERATE(false, true);
     INFO("HTTP/1.0 first: " << old_one_first);
@@ -255,7 +255,7 @@
 }
 
 // Guards against a metric that counts a half-closed caller with its answer among those who left.
-TEST_CASE("a half-closed caller that is answered does not count as gone")
+TEST_CASE("a half-closed caller that is answered does not count as gone", "[stop]")
 {
     virtual_instance fixture;
     fixture.next_work.time = 20ms;
--- a/packages/entry/tests/http/stop_callers_test.cpp
+++ b/packages/entry/tests/http/stop_callers_test.cpp
@@ -48,7 +48,8 @@
 
 // Guards against a connection that a planned stop never ends because its caller always has a
 // request outstanding on it: at the end of the grace its requests are cut or refused.
-TEST_CASE("a caller that pipelines without a pause is told to close early in a planned stop")
+TEST_CASE(
+    "a caller that pipelines without a pause is told to close early in a planned stop", "[stop]")
 {
     const std::size_t depth = GENERATE(2U, 8U, 32U);
     const auto work = GENERATE(5ms, 100ms, 400ms);
@@ -94,7 +95,7 @@
 
 // Guards against answers that are lost by a reset because the caller sends further requests after
 // `Connection: close`, and against passing these requests on.
-TEST_CASE("answers survive a caller that goes on sending after Connection: close")
+TEST_CASE("answers survive a caller that goes on sending after Connection: close", "[stop]")
 {
     struct row
     {
@@ -167,7 +168,7 @@
 
 // Guards against an answer that is in the send buffer when the process ends, and is dropped
 // because the caller sends another request before it reads.
-TEST_CASE("answers survive a caller that sends on and reads once the process has ended")
+TEST_CASE("answers survive a caller that sends on and reads once the process has ended", "[stop]")
 {
     const std::size_t body = GENERATE(40'000U, 280'000U);
     INFO("body " << body);
@@ -199,7 +200,7 @@
 
 // Guards against answers that are lost by a reset because the caller has sent more requests than
 // the instance reads from one connection at a time.
-TEST_CASE("answers survive requests beyond the pipeline limit in a planned stop")
+TEST_CASE("answers survive requests beyond the pipeline limit in a planned stop", "[stop]")
 {
     const std::size_t requests = GENERATE(32U, 33U, 100U);
     const bool first_is_slowest = GENERATE(true, false);
@@ -253,7 +254,7 @@
 
 // Guards against connections that wait without end for a caller that neither reads its answer nor
 // closes.
-TEST_CASE("a caller that never reads its last answer is dropped after the idle time")
+TEST_CASE("a caller that never reads its last answer is dropped after the idle time", "[stop]")
 {
     const std::size_t body = GENERATE(2U, 280'000U, 8'000'000U);
     INFO("answer of " << body << " bytes");
@@ -272,7 +273,7 @@
 }
 
 // Guards against a stopping process that ends before callers that read slowly have their answers.
-TEST_CASE("slow readers get whole answers around a planned stop")
+TEST_CASE("slow readers get whole answers around a planned stop", "[stop]")
 {
     const std::size_t body = GENERATE(40'000U, 280'000U);
     const int buffer = GENERATE(0, small_buffer);
@@ -317,7 +318,7 @@
 // Guards against a request that crosses the close of its idle connection and is passed on without
 // an answer, and against a process that ends while a whole request lies unread in the socket of an
 // open connection.
-TEST_CASE("a request on an idle connection is answered or was sent after its close")
+TEST_CASE("a request on an idle connection is answered or was sent after its close", "[stop]")
 {
     // Kept connections are closed with the listener 300 ms after the signal. One that was opened
     // just before is idle after half a second without a request.
@@ -421,7 +422,7 @@
 
 // Guards against an answer that is lost because its caller sends the next request before it has
 // read all of it, and that request crosses the close of the connection, which looks idle.
-TEST_CASE("an answer survives a request that crosses the close of its connection")
+TEST_CASE("an answer survives a request that crosses the close of its connection", "[stop]")
 {
     const std::size_t body = GENERATE(2U, 40'000U, 280'000U);
     const int buffer = GENERATE(0, small_buffer);
@@ -472,7 +473,7 @@
 
 // Guards against requests without an answer while the store is away, so that the listener stays
 // open up to the end of the grace.
-TEST_CASE("requests are answered up to the end of a stop without the store")
+TEST_CASE("requests are answered up to the end of a stop without the store", "[stop]")
 {
     const auto leave_time = GENERATE(0ms, 600ms, 10s);
     const auto remove_time = GENERATE(0ms, 200ms, 10s);
@@ -523,7 +524,9 @@
 
 // Guards against connections from the listen queue that lose their request: they are established
 // for their callers although the instance has not accepted them when it closes its listener.
-TEST_CASE("connections from the listen queue are answered whenever they send their first request")
+TEST_CASE(
+    "connections from the listen queue are answered whenever they send their first request",
+    "[stop]")
 {
     const std::size_t count = GENERATE(1U, 200U);
     // Time from the close of the listener to the first request.
@@ -575,7 +578,7 @@
 
 // Guards against a connection that is made while the listener closes and is reset after its caller
 // has sent a request on it.
-TEST_CASE("a caller that connects while the listener closes is refused or answered")
+TEST_CASE("a caller that connects while the listener closes is refused or answered", "[stop]")
 {
     const int at = GENERATE(range(296, 305));
     INFO("connected " << at << " ms after the signal");
@@ -597,7 +600,7 @@
 
 // Guards against a second signal that begins the stop anew or ends requests that are at work, and
 // against one that comes before the instance has a table.
-TEST_CASE("a repeated stop changes nothing and an early one loses no request")
+TEST_CASE("a repeated stop changes nothing and an early one loses no request", "[stop]")
 {
     struct row
     {
--- a/packages/entry/tests/http/stop_mix_test.cpp
+++ b/packages/entry/tests/http/stop_mix_test.cpp
@@ -301,7 +301,7 @@
 
 // Guards against any combination of callers, answers and steps of a planned stop that loses an
 // answer to a request that a target has received.
-TEST_CASE("mixed callers around a planned stop lose no answer")
+TEST_CASE("mixed callers around a planned stop lose no answer", "[stop_mix]")
 {
     const int ways = GENERATE(full_duplex_ways, all_ways);
     const std::uint32_t seed = GENERATE(range(1U, 61U));
--- a/packages/entry/tests/http/stop_partial_requests_test.cpp
+++ b/packages/entry/tests/http/stop_partial_requests_test.cpp
@@ -42,7 +42,7 @@
 } // namespace
 
 // Guards against a request that arrives in parts around the stop signal and ends without an answer.
-TEST_CASE("a request that is sent in parts around a planned stop is answered")
+TEST_CASE("a request that is sent in parts around a planned stop is answered", "[stop_mix]")
 {
     enum class cut
     {
@@ -89,7 +89,7 @@
 
 // Guards against a caller that waits for 100 Continue in a planned stop, also behind an earlier
 // request, and gets neither that nor an answer.
-TEST_CASE("a caller that waits for 100 Continue is answered around a planned stop")
+TEST_CASE("a caller that waits for 100 Continue is answered around a planned stop", "[stop_mix]")
 {
     const auto behind = GENERATE(0ms, 20ms, 400ms);
     // Time of the head, relative to the signal.
@@ -139,7 +139,7 @@
 
 // Guards against a caller that waits for 100 Continue behind an earlier request and gets it only
 // once it has sent more.
-TEST_CASE("100 Continue is sent once the requests before it are answered")
+TEST_CASE("100 Continue is sent once the requests before it are answered", "[stop_mix]")
 {
     virtual_instance fixture;
     plain_caller caller(fixture.port);
@@ -162,7 +162,7 @@
 }
 
 // Guards against an interim response to a caller of HTTP/1.0, which does not know such responses.
-TEST_CASE("an expectation of an HTTP/1.0 request is ignored")
+TEST_CASE("an expectation of an HTTP/1.0 request is ignored", "[stop_mix]")
 {
     virtual_instance fixture;
     plain_caller caller(fixture.port);
--- a/packages/entry/tests/http/undelivered_answer_test.cpp
+++ b/packages/entry/tests/http/undelivered_answer_test.cpp
@@ -24,7 +24,7 @@
 
 // Guards against an answer that is cut because its kept connection is closed as idle while the
 // caller still reads, and a further request of the caller makes the close a reset.
-TEST_CASE("a planned stop leaves a slow reader the answer of its kept connection")
+TEST_CASE("a planned stop leaves a slow reader the answer of its kept connection", "[stop]")
 {
     const std::size_t body = GENERATE(40'000U, 280'000U);
     const bool next_request = GENERATE(false, true);
@@ -57,7 +57,7 @@
 }
 
 // Guards against the same cut when the connection reaches its idle time.
-TEST_CASE("the idle time leaves a slow reader the answer of its kept connection")
+TEST_CASE("the idle time leaves a slow reader the answer of its kept connection", "[stop]")
 {
     const bool next_request = GENERATE(false, true);
     INFO("next request: " << next_request);
