--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -7,6 +7,7 @@
 #include <catkintally/entry/process/target_prober.hpp>
 #include <catkintally/entry/table/configuration_follower.hpp>
 #include <catkintally/entry/table/table_watcher.hpp>
+#include <catkintally/platform/objects/platform_limits.hpp>
 #include <catkintally/platform/store/http_object_store.hpp>
 #include <catkintally/runtime/generated/settings.generated.hpp>
 
@@ -27,7 +28,10 @@
 public:
     /// `loop` and `timers` must outlive this object.
     probing_process(
-        runtime::event_loop& loop, core::timer_service& timers, const runtime::settings& values);
+        runtime::event_loop& loop,
+        core::timer_service& timers,
+        const runtime::settings& values,
+        const platform::platform_limits& limits);
 
     /// Binds the addresses and begins to follow the store; false, with an event, if an address is
     /// not free.
@@ -52,6 +56,7 @@
     runtime::event_loop& loop_;
     core::timer_service& timers_;
     const runtime::settings settings_;
+    const platform::platform_limits limits_;
     /// Store addresses in use; a reload may have changed them.
     std::vector<std::string> store_addresses_;
     core::target_dialect dialect_;
--- a/packages/entry/programs/catkintally.cpp
+++ b/packages/entry/programs/catkintally.cpp
@@ -1,6 +1,7 @@
 #include <catkintally/entry/process/instance_process.hpp>
 #include <catkintally/entry/process/probing_process.hpp>
 #include <catkintally/entry/process/settings_reload.hpp>
+#include <catkintally/platform/objects/platform_limits.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 #include <catkintally/runtime/settings/settings_loader.hpp>
 #include <catkintally/runtime/time/libevent_timer_service.hpp>
@@ -75,15 +76,36 @@
     return 0;
 }
 
+/// Decodes the limits that the hosting platform sets.
+boost::leaf::result<platform::platform_limits>
+read_limits(const std::string& path, const runtime::settings& values)
+{
+    namespace leaf = boost::leaf;
+    return leaf::try_handle_some(
+        [&] { return platform::decode_limits(values.platform.limits); },
+        [&](const platform::decode_error& error) -> leaf::result<platform::platform_limits>
+        {
+            return leaf::new_error(runtime::settings_error{
+                .fault = runtime::settings_fault::bad_value,
+                .file = path,
+                .section = "platform",
+                .key = "limits",
+                .detail = error.where + ": " + error.expected});
+        });
+}
+
 /// Runs the kind of process that the settings ask for.
-int serve(const std::string& path, const runtime::settings& values)
+int serve(
+    const std::string& path,
+    const runtime::settings& values,
+    const platform::platform_limits& limits)
 {
     raise_descriptor_limit();
     runtime::event_loop loop;
     runtime::libevent_timer_service timers(loop);
     if (values.admission.mode == runtime::admission_mode::probing)
     {
-        entry::probing_process self(loop, timers, values);
+        entry::probing_process self(loop, timers, values, limits);
         return run_until_stopped(
             loop, self,
             {.timers = &timers,
@@ -107,6 +129,7 @@
         {
             const std::string& path = arguments.at("--config").asString();
             BOOST_LEAF_AUTO(values, runtime::load_settings(path));
+            BOOST_LEAF_AUTO(limits, read_limits(path, values));
             if (arguments.at("--check").asBool())
             {
                 std::cout << "settings are valid\n";
@@ -117,7 +140,7 @@
                 runtime::print_settings(std::cout, values);
                 return 0;
             }
-            return serve(path, values);
+            return serve(path, values, limits);
         },
         [](const runtime::settings_error& error)
         {
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -4,7 +4,6 @@
 #include <catkintally/entry/process/probing_process.hpp>
 #include <catkintally/entry/process/process_parts.hpp>
 #include <catkintally/entry/targets/product_target_dialect.hpp>
-#include <catkintally/platform/objects/platform_limits.hpp>
 #include <catkintally/platform/platform_target_dialect.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 
@@ -34,11 +33,12 @@
 }
 
 /// Fills in what the settings leave to the platform.
-runtime::settings with_platform_limits(runtime::settings values)
+runtime::settings
+with_platform_limits(runtime::settings values, const platform::platform_limits& limits)
 {
     if (values.stop.grace_ms == 0)
     {
-        values.stop.grace_ms = platform::decode_limits(values.platform.limits).grace_ms;
+        values.stop.grace_ms = limits.grace_ms;
     }
     return values;
 }
@@ -46,10 +46,14 @@
 } // namespace
 
 probing_process::probing_process(
-    runtime::event_loop& loop, core::timer_service& timers, const runtime::settings& values)
+    runtime::event_loop& loop,
+    core::timer_service& timers,
+    const runtime::settings& values,
+    const platform::platform_limits& limits)
     : loop_(loop)
     , timers_(timers)
-    , settings_(with_platform_limits(values))
+    , settings_(with_platform_limits(values, limits))
+    , limits_(limits)
     , store_addresses_(values.platform.addresses)
     , dialect_(dialect_of(values))
     , api_(loop, timers, api_options(values.platform))
@@ -80,13 +84,12 @@
 
 void probing_process::make_follower()
 {
-    const auto limits = platform::decode_limits(settings_.platform.limits);
     follower_ = std::make_unique<configuration_follower>(configuration_follower_options{
         .store = &store_,
         .long_watch_store = &quiet_store_,
         .timers = &timers_,
         .self = settings_.instance.id,
-        .retry_budget_percent = limits.retry_percent,
+        .retry_budget_percent = limits_.retry_percent,
         .publish = [this](const auto& table) { use_table(table); },
         .updated = [this](const object_update& update) { news_->broadcast_update(update); },
         .on_call_result = [this](bool reached) { duty_->on_store_call(reached); },
@@ -188,7 +191,7 @@
     options.retry_slack = static_cast<double>(settings_.probing.retry_slack);
     if (settings_.platform.configuration == runtime::platform_configuration::objects)
     {
-        options.retry_slack = platform::decode_limits(settings_.platform.limits).retry_slack;
+        options.retry_slack = limits_.retry_slack;
         options.fleet = [this] { return news_->fleet(); };
     }
     options.cold_interval = milliseconds(settings_.probing.cold_interval_ms);
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -1,5 +1,6 @@
 """Instances as processes, started, stopped, paused and killed by signals."""
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -12,9 +13,14 @@
 BIN = Path(os.environ.get("CATKINTALLY_BUILD_DIR", ROOT / "build")).resolve() / "bin"
 # A process that is signalled this soon may not have reached main().
 LOADING_S = 0.1
-BOUNDS = (f"drain-timeout-ms={int(checks.DRAIN_S * 1000)},retry-budget-ratio={checks.RETRY_RATIO},"
-          f"retry-window-s={int(checks.RETRY_WINDOW_S)},budget-slack={checks.RETRY_SLACK},"
-          f"grace-s={checks.GRACE_S:g}")
+# In the form in which the platform fills in its template.
+BOUNDS = json.dumps({
+    "drain-timeout-ms": int(checks.DRAIN_S * 1000),
+    "retry-budget-ratio": checks.RETRY_RATIO,
+    "retry-window-s": int(checks.RETRY_WINDOW_S),
+    "budget-slack": checks.RETRY_SLACK,
+    "grace-s": checks.GRACE_S,
+}, separators=(",", ":"))
 
 
 def spawn(log_path, *command):
