--- a/packages/core/include/catkintally/core/admission/admission_request.hpp
+++ b/packages/core/include/catkintally/core/admission/admission_request.hpp
@@ -38,6 +38,8 @@
     duration objective_left{};
     /// Priority among the requests of the service; 0 is the highest.
     std::uint32_t priority = 0;
+    /// Organisation of the caller; empty if unknown.
+    std::string organisation{};
     /// True if an earlier attempt of the same request was made.
     bool retry = false;
     /// Targets that must not be chosen.
--- a/packages/core/include/catkintally/core/table/configuration.hpp
+++ b/packages/core/include/catkintally/core/table/configuration.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <catkintally/core/table/caller_limits.hpp>
+#include <catkintally/core/table/organisation_row.hpp>
 #include <catkintally/core/table/route_row.hpp>
 #include <catkintally/core/table/service_row.hpp>
 #include <catkintally/core/table/target_row.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,8 @@
     std::vector<route_row> routes;
     std::vector<service_row> services;
     caller_limits limits;
+    /// Organisations whose callers need an API key. Unset: no keys are required.
+    std::optional<std::vector<organisation_row>> organisations;
 };
 
 /// Registration that a target publishes about itself.
--- a/packages/core/include/catkintally/core/table/route_row.hpp
+++ b/packages/core/include/catkintally/core/table/route_row.hpp
@@ -45,6 +45,8 @@
     std::uint32_t max_attempts = 4;
     /// Priority among the routes of a service; 0 is the highest.
     std::uint32_t priority = 0;
+    /// Requests need no API key, even if the table has organisations.
+    bool is_public = false;
 
     bool operator==(const route_row&) const = default;
 };
--- a/packages/core/include/catkintally/core/table/table_snapshot.hpp
+++ b/packages/core/include/catkintally/core/table/table_snapshot.hpp
@@ -2,6 +2,7 @@
 
 #include <catkintally/core/table/caller_limits.hpp>
 #include <catkintally/core/table/domain_row.hpp>
+#include <catkintally/core/table/organisation_row.hpp>
 #include <catkintally/core/table/route_row.hpp>
 #include <catkintally/core/table/service_row.hpp>
 #include <catkintally/core/table/target_row.hpp>
@@ -42,6 +43,8 @@
     std::vector<route_row> routes;
     /// Limits on callers. Unset: the limits from the settings apply.
     std::optional<caller_limits> limits;
+    /// Organisations whose callers need an API key. Unset: no keys are required.
+    std::optional<std::vector<organisation_row>> organisations;
 
     /// Returns true if the domain is listed with state `out`. Unlisted domains count as `in`.
     [[nodiscard]] bool is_domain_out(const std::string& domain) const
