Answers: a refusal without proof does not reach the caller of a non-idempotent request

Requests that are idempotent were looked at: they may be sent again in any case, and keep the target's status.

Change: where the dialect has a mark for "not executed", such an answer without the mark becomes 502, without the target's signature, with log event 5006 and the result unproven_refusal in catkintally_requests_total.

Tests: answer_check_test, which fails without the change.

target_dialect_test expected the bare 503 of a target to reach the caller of a POST; it now expects 502 and the claim "unknown", which the rule asks for.

--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -109,7 +109,10 @@
     void on_dispatch_end(core::request_id grant, const dispatch_end& end);
     void on_target_lost(core::request_id grant, core::loss_cause cause);
     void on_answer_lost(
-        const running_attempt& attempt, const dispatch_end& end, const std::string& reason);
+        const running_attempt& attempt,
+        const dispatch_end& end,
+        const std::string& reason,
+        core::completion_outcome outcome = core::completion_outcome::connection_lost);
     void on_deadline();
     void on_caller_disconnect();
     [[nodiscard]] bool may_retry() const;
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -1,3 +1,4 @@
+#include <catkintally/entry/http/answer_check.hpp>
 #include <catkintally/entry/http/exchange.hpp>
 #include <catkintally/entry/http/header_rules.hpp>
 #include <catkintally/entry/http/retry_after.hpp>
@@ -30,11 +31,6 @@
     return std::find(values.begin(), values.end(), value) != values.end();
 }
 
-bool says_leaving(const core::target_dialect& dialect, const core::stored_answer& answer)
-{
-    return dialect.leaving && dialect.leaving(answer);
-}
-
 /// Copies a response to be stored, so that it does not hold memory of the budget for bodies in
 /// transit.
 std::shared_ptr<const core::stored_answer> copy_of(const core::stored_answer& answer)
@@ -416,6 +412,13 @@
         retry_or_respond({.status = 502, .claim = execution_claim(), .reason = "target_refused"});
         return;
     }
+    const auto verdict = check_answer(*context_.dialect, *end.answer, plan_.request.idempotent);
+    if (verdict != answer_verdict::usable)
+    {
+        log_unusable(verdict, plan_.request_id, ended.target, end.answer->status);
+        on_answer_lost(ended, end, reason_of(verdict), outcome_of(verdict));
+        return;
+    }
     summary_.target_time = end.service_time;
     const bool failed = end.answer->status >= 500;
     report_completion(
@@ -433,10 +436,13 @@
 }
 
 void exchange::on_answer_lost(
-    const running_attempt& attempt, const dispatch_end& end, const std::string& reason)
+    const running_attempt& attempt,
+    const dispatch_end& end,
+    const std::string& reason,
+    core::completion_outcome outcome)
 {
     may_have_run_ = true;
-    report_completion(attempt, core::completion_outcome::connection_lost, end);
+    report_completion(attempt, outcome, end);
     const refusal lost{.status = 502, .claim = execution_claim(), .reason = reason};
     if (plan_.request.idempotent)
     {
@@ -557,21 +563,7 @@
     report.target = attempt.target;
     report.outcome = outcome;
     report.service_time = end.service_time;
-    if (end.answer)
-    {
-        const core::target_dialect& dialect = *context_.dialect;
-        report.status = end.answer->status;
-        report.load = dialect.load(end.answer->headers);
-        report.limit = dialect.limit ? dialect.limit(*end.answer) : std::nullopt;
-        report.leaving = says_leaving(dialect, *end.answer);
-        report.pause = dialect.pause ? dialect.pause(*end.answer) : std::nullopt;
-    }
-    if (!end.interim_fields.empty())
-    {
-        core::stored_answer interim;
-        interim.headers = end.interim_fields;
-        report.leaving = report.leaving || says_leaving(*context_.dialect, interim);
-    }
+    add_statements(*context_.dialect, end, report);
     context_.gateway->complete(report, std::move(stored));
 }
 
