Answers: a success without the target's signature is not forwarded

Cause: the platform's targets sign each success.

Change: target_dialect names the header; the product's own dialect has none, and nothing changes there. A 2xx answer without it counts as lost: idempotent requests are retried within the budget, others get 502. Damage elsewhere in the head (the request's id, the length) was lost before, too; damage in the body or in the signature's value cannot be seen.

Tests: answer_check_test (two cases), which fails without the change.

--- a/packages/core/include/catkintally/core/targets/target_dialect.hpp
+++ b/packages/core/include/catkintally/core/targets/target_dialect.hpp
@@ -27,6 +27,9 @@
     bool responses_carry_request_id = false;
     /// True if callers set the request id in that header themselves, so that its value is kept.
     bool callers_set_request_id = false;
+    /// Header that targets add to every success. A success without it is not forwarded. Empty:
+    /// there is none.
+    std::string signature_header;
     /// Response headers that targets define, whether or not they are read here.
     std::vector<std::string> known_response_headers;
     /// Header that names the intended target of a request, so that another target that now has the
--- a/packages/entry/include/catkintally/entry/http/answer_check.hpp
+++ b/packages/entry/include/catkintally/entry/http/answer_check.hpp
@@ -13,6 +13,9 @@
 enum class answer_verdict : std::uint8_t
 {
     usable,
+    /// A success without the header that targets add to each success: the answer was damaged on its
+    /// way, or another program wrote it.
+    unsigned_success,
     /// A status by which callers learn that their request was not executed, without the target's
     /// word that it was not. The caller would send the request again.
     unproven_refusal
@@ -21,7 +24,7 @@
 /// Name of the verdict as the reason of a refusal; empty if the answer is usable.
 [[nodiscard]] const char* reason_of(answer_verdict verdict);
 
-/// How an attempt ended whose answer has this verdict.
+/// How an attempt ended whose answer has this verdict. A damaged answer counts as lost.
 [[nodiscard]] core::completion_outcome outcome_of(answer_verdict verdict);
 
 /// Logs that an answer is not forwarded.
--- a/packages/entry/src/http/answer_check.cpp
+++ b/packages/entry/src/http/answer_check.cpp
@@ -1,3 +1,4 @@
+#include <catkintally/core/targets/header_fields.hpp>
 #include <catkintally/entry/http/answer_check.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 
@@ -13,12 +14,19 @@
 /// Statuses that promise callers that their request was not and will not be executed.
 constexpr std::array<std::uint16_t, 4> not_executed_statuses = {408, 421, 429, 503};
 
+bool is_success(std::uint16_t status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace
 
 const char* reason_of(answer_verdict verdict)
 {
     switch (verdict)
     {
+    case answer_verdict::unsigned_success:
+        return "unsigned_success";
     case answer_verdict::unproven_refusal:
         return "unproven_refusal";
     case answer_verdict::usable:
@@ -49,6 +57,12 @@
 answer_verdict check_answer(
     const core::target_dialect& dialect, const core::stored_answer& answer, bool idempotent)
 {
+    const std::string& signature = dialect.signature_header;
+    if (is_success(answer.status) && !signature.empty() &&
+        core::find_header(answer.headers, signature) == nullptr)
+    {
+        return answer_verdict::unsigned_success;
+    }
     const bool promises_not_executed =
         std::find(not_executed_statuses.begin(), not_executed_statuses.end(), answer.status) !=
         not_executed_statuses.end();
--- a/packages/entry/tests/http/answer_check_test.cpp
+++ b/packages/entry/tests/http/answer_check_test.cpp
@@ -10,10 +10,11 @@
 namespace
 {
 
-/// Targets mark what they did not execute.
+/// Targets mark what they did not execute and sign each success.
 core::target_dialect dialect()
 {
     core::target_dialect out;
+    out.signature_header = "X-Signature";
     out.refused_unexecuted = [](const core::stored_answer& answer)
     { return find_field(answer.headers, "X-Unrun") != nullptr; };
     return out;
@@ -59,3 +60,37 @@
     CHECK(status_of(response) == sample.status);
     CHECK(field_of(response, "X-Signature") == "a");
 }
+
+// Guards against forwarding a success whose head was damaged on its way: the caller discards it,
+// though another target could have answered the request.
+TEST_CASE("a success without the target's signature is not forwarded")
+{
+    struct row
+    {
+        const char* method;
+        int status;
+        const char* reason;
+    };
+    const auto sample =
+        GENERATE(values<row>({{"GET", 200, ""}, {"POST", 502, "unsigned_success"}}));
+    instance_fixture fixture([](auto&) {}, dialect());
+    scripted_target damaged(fixture.loop, {.answer = answer(200, "X-Sigmature: a\r\n")});
+    scripted_target sound(fixture.loop, {.answer = answer(200, "X-Signature: b\r\n")});
+    fixture.grant({damaged.address(), sound.address()});
+    const std::string response = fixture.ask(instance_fixture::request(sample.method));
+    CHECK(status_of(response) == sample.status);
+    CHECK(field_of(response, "catkintally-reason") == sample.reason);
+    CHECK(field_of(response, "X-Sigmature").empty());
+    REQUIRE_FALSE(fixture.completed.empty());
+    CHECK(fixture.completed[0].first.outcome == core::completion_outcome::connection_lost);
+}
+
+TEST_CASE("without a signature in the dialect every success is forwarded")
+{
+    core::target_dialect unsigned_dialect = dialect();
+    unsigned_dialect.signature_header.clear();
+    instance_fixture fixture([](auto&) {}, unsigned_dialect);
+    scripted_target target(fixture.loop, {.answer = answer(200)});
+    fixture.grant({target.address()});
+    CHECK(status_of(fixture.ask(instance_fixture::request("POST"))) == 200);
+}
