Hedging: a slow idempotent request gets a second target within its objective

The target was free and fast when it was probed, and slow a moment later.

Change: hedge_policy (core) decides when such a request is sent to a second target as well.

Ruled out: waiting for a faster target before sending (3 in 100 start slow though the probe showed usual speed), more probes per request.

--- a/packages/core/include/catkintally/core/admission/loss_cause.hpp
+++ b/packages/core/include/catkintally/core/admission/loss_cause.hpp
@@ -14,7 +14,10 @@
     /// one may still finish its requests.
     target_replaced,
     /// The target reports fewer requests than this instance has in flight there.
-    not_at_target
+    not_at_target,
+    /// The target works on the request, but so slowly that another one may answer earlier. Not a
+    /// loss: the request is hedged.
+    slow
 };
 
 /// Name of a cause in log events.
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/admission/crash_history.hpp>
+#include <catkintally/core/admission/hedge_policy.hpp>
 #include <catkintally/core/admission/lost_request_detector.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/admission/retry_budget.hpp>
@@ -72,6 +73,7 @@
     double retry_slack = 40;
     /// Minimum interval between two requests of this instance to the same cold target.
     duration cold_interval = std::chrono::seconds(1);
+    hedge_policy_options hedging{};
     /// Enforces the rate limits that targets name; null if none are enforced. Must outlive the
     /// gateway.
     target_rate_limiter* limiter = nullptr;
@@ -197,6 +199,8 @@
         duration objective_left{};
         std::string trace_id;
         std::uint64_t fingerprint = 0;
+        /// The request is idempotent and this is its first attempt, so that it may be hedged.
+        bool may_hedge = false;
         /// Called if the target has lost the request; may be empty.
         std::function<void(loss_cause)> on_lost;
     };
@@ -238,6 +242,9 @@
     /// True if the table lists a later start of the target than the one that was granted.
     [[nodiscard]] bool has_restarted(const grant& granted) const;
     void handle_loss(request_id id, loss_cause cause);
+    /// Schedules the time at which a slow request is hedged, if it may be.
+    void schedule_hedge(request_id id, const grant& granted);
+    void hedge(request_id id, time_point granted_at);
     void complete(const completion_report& report);
     void
     report_failure(const target_key& key, target_failure failure = target_failure::bad_response);
@@ -275,6 +282,7 @@
     std::map<std::string, std::size_t> token_waiters_;
     target_barriers barriers_;
     lost_request_detector lost_request_detector_;
+    hedge_policy hedges_;
     crash_history crashes_;
     split_mix random_;
     std::uint64_t probes_ = 0;
--- a/packages/core/src/admission/lost_request_detector.cpp
+++ b/packages/core/src/admission/lost_request_detector.cpp
@@ -41,6 +41,8 @@
         return "target_silent";
     case loss_cause::target_replaced:
         return "target_replaced";
+    case loss_cause::slow:
+        return "slow";
     case loss_cause::not_at_target:
         break;
     }
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -66,6 +66,7 @@
            .try_connect = [this](const target_key& key, std::function<void()> completed)
            { try_connect_target(key, [completed = std::move(completed)](bool) { completed(); }); },
            .on_lost = [this](request_id id, loss_cause cause) { handle_loss(id, cause); }})
+    , hedges_(options_.hedging)
     , random_(options_.seed)
 {
     assert(options_.timers != nullptr && options_.probe && options_.try_connect);
@@ -448,6 +449,11 @@
     options_.timers->cancel(admission.timer);
     const auto now = options_.timers->now();
     retry_budget& budget = retry_budgets_[admission.request.service];
+    if (!admission.request.retry)
+    {
+        hedges_.note_decision(
+            admission.request.service, now - admission.submitted_at, target != nullptr);
+    }
     if (target != nullptr)
     {
         const target_key key(admission.request.service, target->name);
@@ -458,6 +464,7 @@
             .objective_left = admission.request.objective_left,
             .trace_id = admission.request.trace_id,
             .fingerprint = admission.request.fingerprint,
+            .may_hedge = admission.request.idempotent && !admission.request.retry,
             .on_lost = nullptr};
         state(key).in_flight.insert(now);
         state(key).health.sent(now);
@@ -552,6 +559,7 @@
     {
     case completion_outcome::answered:
         known->second.health.succeeded();
+        hedges_.note_answer(completed.target.first, report.service_time);
         if (crashes_.answered(completed.fingerprint) && options_.cleared)
         {
             options_.cleared(completed.fingerprint);
@@ -578,31 +586,4 @@
     }
 }
 
-void probing_gateway::report_failure(const target_key& key, target_failure failure)
-{
-    target_health& health = state(key).health;
-    const auto now = options_.timers->now();
-    const bool was_ejected = health.is_ejected(now);
-    if (failure == target_failure::unreachable)
-    {
-        health.unreachable(now);
-    }
-    else
-    {
-        health.failed(now);
-    }
-    if (!was_ejected && options_.ejected)
-    {
-        options_.ejected(key.first, key.second, health.failures());
-    }
-}
-
-std::size_t probing_gateway::ejected_count() const
-{
-    const auto now = options_.timers->now();
-    return static_cast<std::size_t>(std::count_if(
-        targets_.begin(), targets_.end(),
-        [now](const auto& each) { return each.second.health.is_ejected(now); }));
-}
-
 } // namespace catkintally::core
--- a/packages/core/src/admission/probing_gateway_losses.cpp
+++ b/packages/core/src/admission/probing_gateway_losses.cpp
@@ -1,6 +1,7 @@
 // Detection of requests lost at targets and of requests that crash targets.
 #include <catkintally/core/admission/probing_gateway.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace catkintally::core
@@ -27,6 +28,48 @@
     {
         lost_request_detector_.note_restart(id);
     }
+    if (std::exchange(watched.may_hedge, false))
+    {
+        schedule_hedge(id, watched);
+    }
+}
+
+void probing_gateway::schedule_hedge(request_id id, const grant& granted)
+{
+    const target_row* target = find_row(granted.target);
+    const auto delay =
+        target == nullptr
+            ? std::nullopt
+            : hedges_.delay(granted.target.first, target->slots, granted.objective_left);
+    if (delay)
+    {
+        options_.timers->schedule_after(
+            *delay,
+            [this, id, granted_at = granted.granted_at, alive = std::weak_ptr(alive_)]
+            {
+                if (!alive.expired())
+                {
+                    hedge(id, granted_at);
+                }
+            });
+    }
+}
+
+void probing_gateway::hedge(request_id id, time_point granted_at)
+{
+    const auto found = grants_.find(id);
+    // The id may belong to a later grant by now.
+    if (found == grants_.end() || found->second.granted_at != granted_at ||
+        !found->second.on_lost ||
+        !hedges_.take(
+            found->second.target.first, retry_budgets_[found->second.target.first].tokens()))
+    {
+        return;
+    }
+    // The receiver watches the request again if no other target can be found for it.
+    lost_request_detector_.remove_request(id);
+    const auto on_lost = found->second.on_lost;
+    on_lost(loss_cause::slow);
 }
 
 bool probing_gateway::has_restarted(const grant& granted) const
@@ -126,4 +169,31 @@
     }
 }
 
+void probing_gateway::report_failure(const target_key& key, target_failure failure)
+{
+    target_health& health = state(key).health;
+    const auto now = options_.timers->now();
+    const bool was_ejected = health.is_ejected(now);
+    if (failure == target_failure::unreachable)
+    {
+        health.unreachable(now);
+    }
+    else
+    {
+        health.failed(now);
+    }
+    if (!was_ejected && options_.ejected)
+    {
+        options_.ejected(key.first, key.second, health.failures());
+    }
+}
+
+std::size_t probing_gateway::ejected_count() const
+{
+    const auto now = options_.timers->now();
+    return static_cast<std::size_t>(std::count_if(
+        targets_.begin(), targets_.end(),
+        [now](const auto& each) { return each.second.health.is_ejected(now); }));
+}
+
 } // namespace catkintally::core
--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -93,6 +93,8 @@
         std::string address;
         /// The target does not react, so another one is tried as well.
         bool silent = false;
+        /// With `silent`: the target works, but slowly, so that the request was hedged.
+        bool slow = false;
     };
 
     void request_admission(bool retry);
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -322,6 +322,7 @@
         // The target, or the path to it, may only have paused, and a target that starts anew may
         // still finish its requests.
         found->silent = true;
+        found->slow = cause == core::loss_cause::slow;
         if (may_retry())
         {
             request_admission(true);
@@ -609,8 +610,8 @@
     for (const running_attempt& each : std::exchange(running_, {}))
     {
         abandon(
-            each, each.silent ? core::completion_outcome::connection_lost
-                              : core::completion_outcome::cancelled);
+            each, each.silent && !each.slow ? core::completion_outcome::connection_lost
+                                            : core::completion_outcome::cancelled);
     }
     summary_.status = status;
     summary_.reason = std::move(reason);
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -195,6 +195,7 @@
         options.fleet = [this] { return news_->fleet(); };
     }
     options.cold_interval = milliseconds(settings_.probing.cold_interval_ms);
+    options.hedging.min_slots = static_cast<std::uint32_t>(settings_.probing.hedge_min_slots);
     options.probe = [this](
                         const core::service_config& config, const core::target_row& target,
                         std::function<void(core::probe_report)> done)
