Targets: removed entries are held only after an outage of the store

A target whose entry disappeared stayed in use for 1.5 s after this instance learned of it, and for 2.2 s after updates arrived again, although the store had been available all the time.

Entries now disappear at once, unless the store was away. store_outage tells an outage from the loss of readers, by the failed calls of all instances; missing_entry_hold decides until when missing entries are held: for 2.2 s after the store's return, and for 1.95 s after the latest answer of the store if they disappeared after it. An instance whose own calls fail while the store answers others holds nothing.

Tests: rows of target_registry_test that described the retention of 1.5 s now state the hold explicitly, and rows without one expect the target to be dropped at once. restored_store_test: a target removed 200 ms before the store returns from a copy is not used again (it was, for the rest of the retention).

--- a/packages/core/include/catkintally/core/news/reader_election.hpp
+++ b/packages/core/include/catkintally/core/news/reader_election.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/admission/split_mix.hpp>
+#include <catkintally/core/news/store_outage.hpp>
 #include <catkintally/core/time/timer_service.hpp>
 #include <catkintally/wire/generated/messages.generated.hpp>
 
@@ -48,8 +49,9 @@
     std::function<void(reader_state)> announce;
     /// True while a neighbour's reply with the current configuration is pending; may be empty.
     std::function<bool()> awaits_update{};
-    /// Called when the configuration becomes fresh again after it was stale; may be empty.
-    std::function<void()> on_fresh_again{};
+    /// Called when the store answers an instance again after an outage; may be empty. The loss of
+    /// the readers alone is no outage.
+    std::function<void()> on_store_returned{};
 };
 
 /// Decides whether this instance reads the store itself or relies on the updates that other
@@ -90,6 +92,9 @@
     /// `stale_after`.
     [[nodiscard]] bool is_fresh() const;
 
+    /// True while the store answers no known instance, and calls have failed for some time.
+    [[nodiscard]] bool is_store_away() const { return outage_.is_lasting(options_.timers->now()); }
+
     /// Time of the latest known successful store call of any reader; nullopt before the first
     /// report.
     [[nodiscard]] std::optional<time_point> last_store_contact() const { return last_reached_; }
@@ -145,13 +150,13 @@
     split_mix random_;
     std::map<std::string, reader> readers_;
     std::optional<time_point> last_reached_;
+    store_outage outage_;
     /// Once a call of this instance has failed: when it may try again without being a reader.
     std::optional<time_point> retry_at_;
     /// While no reader is known that the store answers: how long this instance waits at most for
     /// another one's lists.
     std::optional<time_point> lists_until_;
     bool reading_ = false;
-    bool was_fresh_ = false;
     need planned_ = need::none;
     /// The first read was already deferred once, to wait for a neighbour's reply.
     bool start_deferred_ = false;
--- a/packages/core/src/news/reader_election.cpp
+++ b/packages/core/src/news/reader_election.cpp
@@ -226,6 +226,7 @@
 
 void reader_election::record_state(const std::string& name, reader_state state, time_point at)
 {
+    bool store_returned = false;
     reader& recorded = readers_[name];
     switch (state)
     {
@@ -236,9 +237,14 @@
             .asking = {},
             .answered = {}};
         last_reached_ = std::max(last_reached_.value_or(at), at);
+        store_returned = outage_.note_success(at);
         break;
     case reader_state::failed:
         recorded = {.reached = {}, .failed = at, .asking = {}, .answered = {}};
+        if (has_lost_readers())
+        {
+            outage_.note_failure(at);
+        }
         break;
     case reader_state::asking:
         recorded.asking = at;
@@ -247,9 +253,9 @@
         recorded.answered = at;
         break;
     }
-    if (!std::exchange(was_fresh_, is_fresh()) && was_fresh_ && options_.on_fresh_again)
+    if (store_returned && options_.on_store_returned)
     {
-        options_.on_fresh_again();
+        options_.on_store_returned();
     }
     evaluate();
 }
@@ -268,7 +274,6 @@
                  each.second.answered.value_or(time_point{})});
             return now - last > reader_expiry;
         });
-    was_fresh_ = is_fresh();
     if (!has_lost_readers())
     {
         lists_until_.reset();
@@ -289,7 +294,7 @@
 
     // Re-evaluate when the latest successful report becomes stale.
     options_.timers->cancel(check_timer_);
-    if (was_fresh_)
+    if (is_fresh())
     {
         check_timer_ = options_.timers->schedule_after(
             *last_reached_ + options_.stale_after - now,
--- a/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
+++ b/packages/entry/include/catkintally/entry/table/configuration_follower.hpp
@@ -3,6 +3,7 @@
 #include <catkintally/core/table/configuration.hpp>
 #include <catkintally/core/table/table_snapshot.hpp>
 #include <catkintally/core/time/back_off.hpp>
+#include <catkintally/entry/table/missing_entry_hold.hpp>
 #include <catkintally/entry/table/object_mirror.hpp>
 #include <catkintally/entry/table/refused_objects.hpp>
 #include <catkintally/entry/table/target_registry.hpp>
@@ -46,6 +47,8 @@
     std::function<void(bool reached)> on_call_result{};
     /// Called when the store has answered the cheap call that comes before lists; may be empty.
     std::function<void()> on_probed{};
+    /// What other instances tell about the store.
+    missing_entry_hold_options missing_entries{};
 };
 
 /// Era of the store, and how it became known.
@@ -83,8 +86,8 @@
     /// Version and digest by prefix, of the prefixes whose objects are known.
     [[nodiscard]] std::map<std::string, object_state> states() const;
 
-    /// Notes that updates arrive again after an interruption in which entries may have expired.
-    void note_updates_resumed();
+    /// Notes that the store is available again after an outage in which entries may have expired.
+    void note_store_returned();
 
     /// Version of the configuration in force; nothing until the first table is published.
     [[nodiscard]] std::optional<std::uint64_t> version() const;
@@ -152,6 +155,7 @@
     std::shared_ptr<std::uint64_t> current_probe_ = std::make_shared<std::uint64_t>(0);
     refused_objects refused_objects_;
     target_registry registry_;
+    missing_entry_hold missing_entry_hold_;
     std::optional<core::configuration> configuration_;
     core::store_position seen_configuration_;
     /// The object decoded last, because a reader needs its version before it comes into force.
@@ -170,8 +174,6 @@
     /// do not come back.
     core::time_point evacuations_held_until_{};
     std::optional<core::time_point> unreachable_since_;
-    /// Entries that are missing before this time may have expired while the store was unreachable.
-    core::time_point trusted_from_{};
     core::timer_id retry_timer_ = 0;
     core::timer_id update_timer_ = 0;
     bool published_ = false;
--- a/packages/entry/include/catkintally/entry/table/target_registry.hpp
+++ b/packages/entry/include/catkintally/entry/table/target_registry.hpp
@@ -18,10 +18,6 @@
 {
     /// Decodes a registration; returns nothing if the object cannot be used.
     std::function<std::optional<core::target_registration>(const core::store_object&)> decode;
-    /// How long a target whose entry disappears before it was seen draining stays in use. Entries
-    /// also expire while the store is unreachable; the target's health check shows whether it
-    /// accepts requests.
-    core::duration missing_entry_retention = std::chrono::milliseconds(1500);
 };
 
 /// Tracks the targets that register themselves. Late entries of an earlier incarnation, or of an
@@ -32,15 +28,15 @@
 public:
     explicit target_registry(target_registry_options options);
 
-    /// Applies the objects that the store holds now, in `era`. Missing entries are kept for
-    /// missing_entry_retention, and until `trusted_from` at least, unless the target was draining.
+    /// Applies the objects that the store holds now, in `era`. Targets whose entries are found
+    /// missing stay in use until `hold_until` (see missing_entry_hold), unless they were draining.
     /// An object that cannot be used leaves the target as it was. Returns when to call again, if
     /// entries are kept.
     std::optional<core::time_point> apply(
         const std::map<std::string, core::store_object>& objects,
         std::uint64_t era,
         core::time_point now,
-        core::time_point trusted_from);
+        core::time_point hold_until);
 
     /// The targets in use or draining, by name.
     [[nodiscard]] std::map<std::string, const core::target_registration*> targets() const;
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -93,7 +93,10 @@
         .publish = [this](const auto& table) { use_table(table); },
         .updated = [this](const object_update& update) { news_->broadcast_update(update); },
         .on_call_result = [this](bool reached) { duty_->on_store_call(reached); },
-        .on_probed = [this] { duty_->on_store_probed(); }});
+        .on_probed = [this] { duty_->on_store_probed(); },
+        .missing_entries =
+            {.is_store_away = [this] { return duty_->is_store_away(); },
+             .last_store_contact = [this] { return duty_->last_store_contact(); }}});
 }
 
 void probing_process::make_news()
@@ -114,7 +117,7 @@
         .on_reading_changed = [this](bool reading) { follower_->set_reading(reading); },
         .announce = [this](wire::reader_state state) { news_->broadcast_reader_state(state); },
         .awaits_update = [this] { return news_->awaits_update(); },
-        .on_fresh_again = [this] { follower_->note_updates_resumed(); }});
+        .on_store_returned = [this] { follower_->note_store_returned(); }});
     news_ = std::make_unique<gossip_node>(gossip_node_options{
         .loop = &loop_,
         .timers = &timers_,
--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -19,10 +19,6 @@
 namespace
 {
 
-/// Entries that expired while the store was unreachable are registered again within about two
-/// seconds of its return.
-constexpr auto reregistration_time = std::chrono::milliseconds(2200);
-
 /// Targets register and leave in bursts, so their changes are collected for this long. A target
 /// that leaves still serves for two seconds.
 constexpr auto target_pause = std::chrono::milliseconds(300);
@@ -64,9 +60,10 @@
 configuration_follower::configuration_follower(configuration_follower_options options)
     : options_(std::move(options))
     , back_off_(options_.back_off)
-    , registry_({.decode = [this](const core::store_object& object) {
-        return decoded_or_refused(object, platform::decode_target, refused_objects_);
-    }})
+    , registry_(
+          {.decode = [this](const core::store_object& object)
+           { return decoded_or_refused(object, platform::decode_target, refused_objects_); }})
+    , missing_entry_hold_(options_.missing_entries)
 {
     assert(options_.store != nullptr && options_.long_watch_store != nullptr);
     assert(options_.timers != nullptr && options_.publish);
@@ -253,8 +250,8 @@
                                       {"previous", std::to_string(previous ? previous->era : 0)},
                                       {"read_by", reader}});
     // The operator and the targets write again what the copy lacks.
-    note_updates_resumed();
-    evacuations_held_until_ = trusted_from_;
+    note_store_returned();
+    evacuations_held_until_ = missing_entry_hold_.reregistered_by();
     if (!reading_)
     {
         return;
@@ -310,9 +307,9 @@
     return known;
 }
 
-void configuration_follower::note_updates_resumed()
+void configuration_follower::note_store_returned()
 {
-    trusted_from_ = options_.timers->now() + reregistration_time;
+    missing_entry_hold_.note_store_returned(options_.timers->now());
 }
 
 core::duration configuration_follower::longest_silence() const
@@ -340,7 +337,7 @@
     // The store answers again. Pending calls may be waiting on a connection that has since failed.
     const auto now = options_.timers->now();
     const auto outage = now - *std::exchange(unreachable_since_, std::nullopt);
-    note_updates_resumed();
+    missing_entry_hold_.note_answered_again(now);
     log_event(
         event_id::configuration_regained,
         {{"kind", mirrors_[index]->prefix()},
@@ -442,7 +439,8 @@
     apply_evacuations();
     const auto now = options_.timers->now();
     auto next = registry_.apply(
-        mirrors_[target_mirror]->objects(), mirrors_[target_mirror]->era(), now, trusted_from_);
+        mirrors_[target_mirror]->objects(), mirrors_[target_mirror]->era(), now,
+        missing_entry_hold_.hold_until(now));
     if (now < evacuations_held_until_)
     {
         next = std::min(next.value_or(evacuations_held_until_), evacuations_held_until_);
--- a/packages/entry/src/table/target_registry.cpp
+++ b/packages/entry/src/table/target_registry.cpp
@@ -52,7 +52,7 @@
     const std::map<std::string, core::store_object>& objects,
     std::uint64_t era,
     core::time_point now,
-    core::time_point trusted_from)
+    core::time_point hold_until)
 {
     // The first list is logged as one line: one line per target would, with hundreds of targets,
     // use up the log's limit per second.
@@ -90,9 +90,8 @@
         {
             // A draining target whose entry disappears has certainly left; it is not kept.
             const bool remove_now = registration.target.state == core::target_admin_state::draining;
-            each.kept_until =
-                remove_now ? now : std::max(now + options_.missing_entry_retention, trusted_from);
-            log_change(registration, remove_now ? "gone" : "unlisted");
+            each.kept_until = remove_now ? now : std::max(now, hold_until);
+            log_change(registration, now >= *each.kept_until ? "gone" : "unlisted");
         }
         if (each.kept_until && now >= *each.kept_until)
         {
