Organisations: decode them from the configuration

The platform's configuration lists organisations with API keys, priority and quota, and marks routes as public; nothing read these members.

A malformed organisation is listed in refused_organisations and leaves the others in force. - The dialect names the headers of key and organisation.

--- a/packages/core/include/catkintally/core/table/configuration.hpp
+++ b/packages/core/include/catkintally/core/table/configuration.hpp
@@ -14,6 +14,17 @@
 namespace catkintally::core
 {
 
+/// An organisation of a configuration that cannot be used. The others are in force.
+struct refused_organisation
+{
+    /// Empty if it has no usable name.
+    std::string name;
+    /// Path of the invalid member.
+    std::string where;
+    /// What was expected there.
+    std::string expected;
+};
+
 /// Routes, services and limits as configured by the operator of a hosting platform. Targets are not
 /// part of it: they register themselves.
 struct configuration
@@ -25,6 +36,7 @@
     caller_limits limits;
     /// Organisations whose callers need an API key. Unset: no keys are required.
     std::optional<std::vector<organisation_row>> organisations;
+    std::vector<refused_organisation> refused_organisations;
 };
 
 /// Registration that a target publishes about itself.
--- a/packages/core/include/catkintally/core/targets/target_dialect.hpp
+++ b/packages/core/include/catkintally/core/targets/target_dialect.hpp
@@ -38,6 +38,12 @@
     /// Header that names the target in its health check responses. Empty: targets do not send their
     /// name.
     std::string target_name_header;
+    /// Header in which callers send their API key, and the scheme that precedes the key. Empty:
+    /// callers have no keys.
+    std::string api_key_header;
+    std::string api_key_scheme;
+    /// Header that names the caller's organisation to the target.
+    std::string organisation_header;
     /// True if a response without a length is complete when its connection is closed in an orderly
     /// way.
     bool close_delimited_responses = false;
