Organisations: callers need an API key, targets learn the organisation

- check_access() reads the key of a request. 401 for a missing, malformed, repeated, over-long or unknown key, after 503 (no table) and 404 (no route).
The connection stays open.
Public routes need no key.
- The check is made again before each attempt and directly before its first byte, if routes or organisations have changed since.
A request that waits for admission is answered at the change.
Its grant is returned unused.
- A key that has moved to another organisation, and a route that leads to other services now, give 503 not run: header fields and quota of the attempt were those of the earlier table.
- The key is not forwarded, the organisation header is ours; both pass through if the table has no organisations.
- The organisation's priority replaces the route's in admission requests.
- exchange_summary::executed is false if nothing was executed, for refunds of quotas. start_exchange() is the one place where a request that has passed all checks starts.
- The instance uses a new table before the gateway does, since the gateway may grant waiting requests at once.

--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -9,12 +9,15 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace catkintally::entry
 {
 
+struct exchange_plan;
+
 /// Services and settings that an exchange uses.
 struct exchange_context
 {
@@ -25,6 +28,9 @@
     std::string deadline_header;
     /// Time until the process is killed; empty if that is not known.
     std::function<core::duration()> time_to_end{};
+    /// Returns why the newest table does not let the request through any more, if so. Called before
+    /// each attempt and directly before its first byte is sent.
+    std::function<std::optional<refusal>(const caller_request&, const exchange_plan&)> denied{};
     /// Id for the grant of an attempt that starts while another one is running.
     std::function<core::request_id()> next_grant_id;
 };
@@ -43,6 +49,12 @@
     std::uint32_t max_attempts = 4;
     std::vector<std::uint16_t> not_run_statuses;
     std::string request_id;
+    /// Number of changes of routes and organisations when the request was handled.
+    std::uint64_t access_version = 0;
+    /// Header fields of the caller's key and organisation, which are not forwarded as received;
+    /// empty if the table has no organisations. See forward_options.
+    std::string api_key_header{};
+    std::string organisation_header{};
 };
 
 /// Outcome of an exchange.
@@ -57,6 +69,8 @@
     std::uint32_t attempts = 0;
     /// Target of the last attempt; empty if there was none.
     std::string target;
+    /// A target has executed the request or may have. False guarantees that none did.
+    bool executed = false;
 };
 
 /// Handles one caller's request from admission to the response: requests a grant from the fleet,
@@ -76,9 +90,9 @@
     /// Starts the exchange. The owner keeps the object alive until `ended` is called.
     void start();
 
-    /// A planned stop begins: refuses a request that waits for admission and may outlast the
-    /// process.
-    void begin_stop();
+    /// A planned stop begins, or the table has changed: refuses a request that waits for admission
+    /// and that may outlast the process or is not let through any more.
+    void recheck();
 
     /// Answers the caller now, because the process is about to be killed.
     void end_now();
@@ -126,6 +140,8 @@
         std::shared_ptr<const core::stored_answer> stored = nullptr);
     void refuse(const refusal& refused);
     [[nodiscard]] refusal stopping_refusal() const;
+    /// Why the request may not be sent now, whatever the target.
+    [[nodiscard]] std::optional<refusal> obstacle() const;
     void forward_response(const core::stored_answer& answer, shared_body body, const char* reason);
     [[nodiscard]] bool refused_unexecuted(const core::stored_answer& answer) const;
     void finish(std::uint16_t status, std::string reason, const caller_response& response);
--- a/packages/entry/include/catkintally/entry/http/header_rules.hpp
+++ b/packages/entry/include/catkintally/entry/http/header_rules.hpp
@@ -28,6 +28,12 @@
     /// field of that name in the caller's request is always removed.
     std::string expected_target_header;
     std::string expected_target;
+    /// Headers of the caller's API key and of its organisation. Fields of these names in the
+    /// caller's request are removed; empty names remove nothing.
+    std::string api_key_header{};
+    std::string organisation_header{};
+    /// Organisation of the caller, which is sent in that header; empty: not sent.
+    std::string organisation{};
     /// Caller's IP address without port.
     std::string caller_address;
 };
--- a/packages/entry/include/catkintally/entry/http/refusal.hpp
+++ b/packages/entry/include/catkintally/entry/http/refusal.hpp
@@ -18,6 +18,8 @@
     std::string reason;
     /// Zero: no Retry-After.
     core::duration retry_after{};
+    /// Scheme in which the caller has to identify itself, for status 401.
+    std::string challenge{};
 };
 
 /// Value of the header field catkintally-outcome.
--- a/packages/entry/include/catkintally/entry/http/request_handler.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_handler.hpp
@@ -2,8 +2,11 @@
 
 #include <catkintally/core/admission/split_mix.hpp>
 #include <catkintally/core/fleet/admission_gateway.hpp>
+#include <catkintally/core/organisations/organisation_directory.hpp>
 #include <catkintally/core/routing/router.hpp>
 #include <catkintally/entry/http/exchange.hpp>
+#include <catkintally/entry/http/organisation_check.hpp>
+#include <catkintally/entry/http/organisation_metrics.hpp>
 #include <catkintally/entry/http/request_check.hpp>
 #include <catkintally/runtime/metrics/metrics_registry.hpp>
 
@@ -42,7 +45,8 @@
 public:
     explicit request_handler(request_handler_options options);
 
-    /// Routes all requests that arrive from now on by this table revision.
+    /// Routes all requests that arrive from now on by this table revision. If its routes or
+    /// organisations have changed, requests that have not been sent to a target are checked again.
     void apply_table(std::shared_ptr<const core::table_snapshot> table);
 
     /// Handles one request; `call` is replied to exactly once.
@@ -57,6 +61,12 @@
     /// Next request id: 16 hexadecimal digits, as used in headers.
     [[nodiscard]] std::string next_request_id();
 
+    /// Organisations in force.
+    [[nodiscard]] const core::organisation_directory& organisations() const
+    {
+        return organisations_;
+    }
+
     /// Number of exchanges that have not ended.
     [[nodiscard]] std::size_t in_flight() const { return exchanges_.size(); }
 
@@ -70,15 +80,26 @@
 
     void refuse(pending_request& call, request_error error);
     void refuse_not_ready(pending_request& call);
+    void refuse_key(pending_request& call, key_error error);
+    [[nodiscard]] refusal refusal_of(key_error error) const;
+    /// Why the newest table does not let a request through any more, if so. Costs nothing while
+    /// neither routes nor organisations change.
+    [[nodiscard]] std::optional<refusal>
+    changed_access(const caller_request& request, const exchange_plan& plan) const;
     [[nodiscard]] core::request_id next_id();
     [[nodiscard]] const core::service_config* choose_service(const core::route_row& route);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> current_exchanges() const;
+    /// Starts the exchange of a request that has passed all checks.
     void start_exchange(pending_request& call, const exchange_plan& plan, const std::string& route);
     void record_outcome(
         const exchange_plan& plan, const std::string& route, const exchange_summary& summary);
 
     request_handler_options options_;
     std::optional<core::router> router_;
+    core::organisation_directory organisations_;
+    organisation_metrics organisation_metrics_;
+    /// Number of changes of the routes or the organisations.
+    std::uint64_t access_version_ = 0;
     core::split_mix random_;
     std::uint32_t next_id_ = 0;
     std::map<core::request_id, std::shared_ptr<exchange>> exchanges_;
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -22,9 +22,6 @@
 /// target's queue advances.
 constexpr auto refused_retry_after = std::chrono::milliseconds(300);
 
-/// Retry-After of an instance that stops. Others are ready.
-constexpr auto stopping_retry_after = std::chrono::milliseconds(100);
-
 template <class Value>
 bool contains(const std::vector<Value>& values, const Value& value)
 {
@@ -89,30 +86,6 @@
     return std::max(core::duration::zero(), plan_.deadline - (context_.timers->now() - started_));
 }
 
-bool exchange::may_outlast_process() const
-{
-    return context_.time_to_end && time_left() > context_.time_to_end();
-}
-
-refusal exchange::stopping_refusal() const
-{
-    return {
-        .status = 503,
-        .claim = execution_claim(),
-        .reason = "stopping",
-        .retry_after = stopping_retry_after};
-}
-
-void exchange::begin_stop()
-{
-    // The end of another request may have ended this one.
-    if (pending_request_ != nullptr && awaiting_admission_ && may_outlast_process())
-    {
-        withdraw_admission();
-        respond_without_retry(stopping_refusal());
-    }
-}
-
 void exchange::end_now()
 {
     if (pending_request_ != nullptr)
@@ -133,9 +106,9 @@
 
 void exchange::request_admission(bool retry)
 {
-    if (may_outlast_process())
+    if (const auto barred = obstacle())
     {
-        respond_without_retry(stopping_refusal());
+        respond_without_retry(*barred);
         return;
     }
     if (!running_.empty())
@@ -198,14 +171,15 @@
             {.status = 504, .claim = execution_claim(), .reason = "deadline_expired"});
         return;
     }
-    if (may_outlast_process())
+    if (const auto barred = obstacle())
     {
         report_completion(next, core::completion_outcome::not_run, {});
-        respond_without_retry(stopping_refusal());
+        respond_without_retry(*barred);
         return;
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left());
     const caller_request& request = pending_request_->request();
+    const core::target_dialect& dialect = *context_.dialect;
     ++summary_.attempts;
     next.dispatch = context_.pool->dispatch(
         answer.address,
@@ -215,24 +189,26 @@
             .fields = forwarded_request_fields(
                 request.fields, {.deadline_header = context_.deadline_header,
                                  .deadline_left = std::to_string(left.count()),
-                                 .request_id_header = context_.dialect->request_id_header,
+                                 .request_id_header = dialect.request_id_header,
                                  .request_id = plan_.request_id,
-                                 .expected_target_header = context_.dialect->expected_target_header,
+                                 .expected_target_header = dialect.expected_target_header,
                                  .expected_target = answer.target,
+                                 .api_key_header = plan_.api_key_header,
+                                 .organisation_header = plan_.organisation_header,
+                                 .organisation = plan_.request.organisation,
                                  .caller_address = request.address}),
             .body = request.body,
             .expected_echo =
                 echoed_header{
-                    .header = context_.dialect->request_id_header,
+                    .header = dialect.request_id_header,
                     .value = plan_.request_id,
-                    .always = context_.dialect->responses_carry_request_id},
+                    .always = dialect.responses_carry_request_id},
             // The fleet marks the grant as used by this call, so it is made once for each grant.
             .may_send =
                 [weak = weak_from_this(), grant]
             {
                 const auto self = weak.lock();
-                return self && !self->may_outlast_process() &&
-                       self->context_.gateway->may_send(grant);
+                return self && !self->obstacle() && self->context_.gateway->may_send(grant);
             }},
         [weak = weak_from_this(), grant](const dispatch_end& end)
         {
@@ -491,7 +467,7 @@
         forward_response(*failed_answer_, body_of(failed_answer_), nullptr);
         return;
     }
-    if (target_refused_ && !may_have_run_)
+    if (target_refused_ && !may_have_run_ && fallback.challenge.empty())
     {
         // The target's refusal tells the caller more than the reason why no retry was granted.
         refuse(
@@ -614,6 +590,7 @@
     }
     summary_.status = status;
     summary_.reason = std::move(reason);
+    summary_.executed = may_have_run_ || summary_.reason == "answered";
     summary_.total = context_.timers->now() - started_;
     pending_request* call = std::exchange(pending_request_, nullptr);
     call->reply(response);
--- a/packages/entry/src/http/header_rules.cpp
+++ b/packages/entry/src/http/header_rules.cpp
@@ -33,6 +33,19 @@
                });
 }
 
+/// True for the name of the organisation header, also if written with '_' for '-': servers that
+/// pass fields on as variables (CGI) do not tell these apart.
+bool is_organisation_field(std::string_view name, std::string_view organisation_header)
+{
+    if (organisation_header.empty() || name.size() != organisation_header.size())
+    {
+        return false;
+    }
+    std::string hyphenated(name);
+    std::replace(hyphenated.begin(), hyphenated.end(), '_', '-');
+    return equals_ignore_case(hyphenated, organisation_header);
+}
+
 } // namespace
 
 header_list forwarded_request_fields(const header_list& received, const forward_options& options)
@@ -54,7 +67,9 @@
             !is_hop_by_hop_field(received, name) &&
             !equals_ignore_case(name, options.deadline_header) &&
             !equals_ignore_case(name, options.request_id_header) &&
-            !equals_ignore_case(name, options.expected_target_header))
+            !equals_ignore_case(name, options.expected_target_header) &&
+            !equals_ignore_case(name, options.api_key_header) &&
+            !is_organisation_field(name, options.organisation_header))
         {
             result.emplace_back(name, value);
         }
@@ -72,6 +87,10 @@
     {
         result.emplace_back(options.expected_target_header, options.expected_target);
     }
+    if (!options.organisation.empty())
+    {
+        result.emplace_back(options.organisation_header, options.organisation);
+    }
     return result;
 }
 
--- a/packages/entry/src/http/refusal.cpp
+++ b/packages/entry/src/http/refusal.cpp
@@ -88,6 +88,10 @@
         out.fields.emplace_back(
             "Retry-After", seconds_text(refused.retry_after, fractional_retry_after));
     }
+    if (!refused.challenge.empty())
+    {
+        out.fields.emplace_back("WWW-Authenticate", refused.challenge);
+    }
     out.fields.emplace_back(request_id_header, request_id);
     return out;
 }
--- a/packages/entry/src/http/request_handler.cpp
+++ b/packages/entry/src/http/request_handler.cpp
@@ -91,6 +91,7 @@
 
 request_handler::request_handler(request_handler_options options)
     : options_(std::move(options))
+    , organisation_metrics_(*options_.metrics)
     , random_(options_.id_prefix)
 {
     options_.metrics->gauge(
@@ -99,7 +100,18 @@
 
 void request_handler::apply_table(std::shared_ptr<const core::table_snapshot> table)
 {
+    const bool new_routes = !router_ || router_->table()->routes != table->routes;
+    const bool new_organisations = organisations_.apply(table->organisations);
     router_.emplace(std::move(table));
+    if (!new_routes && !new_organisations)
+    {
+        return;
+    }
+    ++access_version_;
+    for (const auto& each : current_exchanges())
+    {
+        each->recheck();
+    }
 }
 
 std::string request_handler::next_request_id()
@@ -148,6 +160,13 @@
         refuse(call, request_error::no_service);
         return;
     }
+    const caller_access access =
+        check_access(organisations_, options_.dialect, *route, request.fields);
+    if (access.error)
+    {
+        refuse_key(call, *access.error);
+        return;
+    }
     const core::service_row& service = config->service;
     if (request.body->size() > service.max_body_bytes)
     {
@@ -172,6 +191,7 @@
         plan.request_id = *given;
     }
     plan.deadline = *deadline;
+    plan.access_version = access_version_;
     plan.latency_objective = route->latency_objective;
     plan.max_attempts = route->max_attempts;
     plan.not_run_statuses = service.not_run_statuses;
@@ -183,6 +203,17 @@
     admission.failure_domain = options_.failure_domain;
     admission.fingerprint = request_fingerprint(service.name, request);
     admission.priority = route->priority;
+    if (access.organisation != nullptr)
+    {
+        admission.organisation = access.organisation->name;
+        admission.priority = access.organisation->priority.value_or(route->priority);
+        organisation_metrics_.add_request(admission.organisation);
+    }
+    if (organisations_.requires_keys())
+    {
+        plan.api_key_header = options_.dialect.api_key_header;
+        plan.organisation_header = options_.dialect.organisation_header;
+    }
     const auto& methods = service.idempotent_methods;
     admission.idempotent = route->idempotent.value_or(
         std::find(methods.begin(), methods.end(), request.method) != methods.end());
@@ -211,12 +242,15 @@
         .dialect = &options_.dialect,
         .deadline_header = options_.deadline_header,
         .time_to_end = options_.time_to_end,
+        .denied = [this](const caller_request& request, const exchange_plan& asked)
+        { return changed_access(request, asked); },
         .next_grant_id = [this] { return next_id(); }};
     auto new_exchange = std::make_shared<exchange>(
         context, call, plan,
         [this, id, plan, route](const exchange_summary& summary)
         {
             record_outcome(plan, route, summary);
+            // `executed` says whether a token of the organisation's quota is due.
             exchanges_.erase(id);
         });
     exchanges_.emplace(id, new_exchange);
@@ -237,7 +271,7 @@
 {
     for (const auto& each : current_exchanges())
     {
-        each->begin_stop();
+        each->recheck();
     }
 }
 
@@ -298,6 +332,7 @@
     log_event(
         runtime::event_id::request_ended, {{"request", plan.request_id},
                                            {"route", route},
+                                           {"organisation", plan.request.organisation},
                                            {"service", service},
                                            {"status", std::to_string(summary.status)},
                                            {"reason", summary.reason},
@@ -306,6 +341,10 @@
                                            {"total_ms", ms_text(summary.total)},
                                            {"target_ms", ms_text(summary.target_time)},
                                            {"limit_ms", ms_text(plan.deadline)}});
+    if (summary.status == unauthorized_status && summary.reason != "answered")
+    {
+        organisation_metrics_.add_refused(summary.reason);
+    }
     service_metrics& metrics = metrics_by_service_[service];
     if (metrics.total == nullptr)
     {
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -284,8 +284,9 @@
 void probing_process::use_table(const std::shared_ptr<const core::table_snapshot>& table)
 {
     has_table_ = true;
-    gateway_.apply(table);
+    // The gateway may grant waiting requests at once, which are checked against the newest keys.
     instance_.apply_table(table);
+    gateway_.apply(table);
 }
 
 boost::json::value probing_process::store_dump() const
--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/table/configuration_follower.hpp>
+#include <catkintally/entry/table/configuration_log.hpp>
 #include <catkintally/platform/objects/operator_objects.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 
@@ -474,12 +475,7 @@
         return;
     }
     configuration_ = decoded;
-    log_event(
-        event_id::configuration_applied,
-        {{"configuration", std::to_string(configuration_->version)},
-         {"store_version", std::to_string(found->second.version)},
-         {"routes", std::to_string(configuration_->routes.size())},
-         {"services", std::to_string(configuration_->services.size())}});
+    log_configuration(*configuration_, found->second.version);
 }
 
 std::map<std::string, core::store_object> configuration_follower::evacuations_in_force() const
@@ -552,6 +548,7 @@
     table->domains = domains_;
     table->routes = configuration_->routes;
     table->limits = configuration_->limits;
+    table->organisations = configuration_->organisations;
     for (const core::service_row& service : configuration_->services)
     {
         core::service_config& config = table->services[service.name];
