--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/instance.hpp>
+#include <catkintally/entry/process/organisation_dump.hpp>
 #include <catkintally/entry/targets/load_field.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 
@@ -327,6 +328,7 @@
                                       {"stopping", stopping_},
                                       {"requests_in_flight", path_.in_flight()}};
         });
+    admin_.add_section("organisations", [this] { return to_json(path_.organisations()); });
 }
 
 } // namespace catkintally::entry
