Soak: organisations, keys that change, and their promises

Callers use keys in force, and with 20 % of the requests missing, malformed, doubled, over-long, unknown, just added or just withdrawn ones; some claim an organisation themselves.

New checks: organisation and key at the target (unasked), keys that were never configured (route), withdrawn and added keys 2 s after the acknowledgement (config), keys in logs and dumps (secret).

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -6,6 +6,7 @@
 from . import http_text
 from .checks import PROMISES, Request
 from .loss_check import End
+from .organisations import PUBLIC_PREFIX
 from .targets import CRASHING_PATH, body_of
 
 DEADLINE_S = 1.5
@@ -49,11 +50,18 @@
             ("/o/", "POST", False, "order", b"x" * self.world.random.randint(1, 3000)))
         if kind > 0.9:
             path, method, safe, service, body = self.world.newest_route(), "GET", True, "lookup", b""
+        organisations = self.world.organisations
+        access = organisations.access()
+        if organisations.public():
+            path, method, safe, service, body = PUBLIC_PREFIX, "GET", True, "lookup", b""
+            access = organisations.public_access(), True
         path += f"{self.number}-{self.sent}"
         deadline = time.monotonic() + DEADLINE_S
         for _ in range(RETRIES + 1):
-            outcome, wait = await self.attempt(method, path, body, safe, service, deadline)
-            again = outcome in PROMISES or outcome == "unread" or (safe and outcome != 404)
+            outcome, wait = await self.attempt(
+                method, path, body, safe, service, deadline, access)
+            again = outcome in PROMISES or outcome == "unread" or (
+                safe and outcome not in (401, 404))
             if outcome == 200 or not again:
                 return
             await self.close()
@@ -76,25 +84,29 @@
         except OSError:
             return False
 
-    async def attempt(self, method, path, body, safe, service, deadline):
-        """Status of one attempt, or "unread" or "cut", and the advised wait in seconds."""
+    async def attempt(self, method, path, body, safe, service, deadline, access=None):
+        """Status of one attempt, or "unread" or "cut", and the advised wait in seconds. `access` is
+        how it identifies itself, and whether it must be served; a valid key by default."""
+        access, served = access or self.world.organisations.valid_access()
         if not await self.connect():
             return "unread", 0.05
         self.sent += 1
         now = time.monotonic()
         request = Request(f"{self.world.seed:04x}{self.number:04x}{self.sent:08x}",
                           self.instance.run_name, method, path, body, safe, service, now)
-        request.missed = not path.startswith(CRASHING_PATH)
+        request.missed = served and not path.startswith(CRASHING_PATH)
         request.caller, request.deadline_s = f"Caller-{self.number}", deadline - now
         request.timeout_s = TIMEOUT_S
         checks = self.world.checks
         checks.sent(request)
+        checks.organisations.sent(request, access)
         reader, writer = self.connection
         try:
             writer.write(http_text.message(
                 f"{method} {path} HTTP/1.1",
                 {"Host": "soak.example", "X-Catkintally-Attempt-Id": request.request,
-                 "X-Catkintally-Deadline-Ms": str(max(1, int((deadline - now) * 1000)))}, body))
+                 "X-Catkintally-Deadline-Ms": str(max(1, int((deadline - now) * 1000))),
+                 **access.fields}, body))
             async with asyncio.timeout(max(0.05, deadline - now + 0.5)):
                 head = await http_text.read_head(reader)
                 if head is None:
@@ -178,11 +190,14 @@
         request.caller, request.behind = f"PipeliningCaller-{self.number}", bool(self.open)
         request.timeout_s, request.deadline_s = TIMEOUT_S, self.pick.choice((0.3, 1.2, 5.0))
         self.world.checks.sent(request)
+        access, _ = self.world.organisations.valid_access()
+        self.world.checks.organisations.sent(request, access)
         self.open.append(request)
         writer.write(http_text.message(
             f"{method} {path} HTTP/1.1",
             {"Host": "soak.example", "X-Catkintally-Attempt-Id": request.request,
-             "X-Catkintally-Deadline-Ms": str(int(request.deadline_s * 1000))}, body))
+             "X-Catkintally-Deadline-Ms": str(int(request.deadline_s * 1000)),
+             **access.fields}, body))
 
     async def read_answers(self, reader):
         """How the connection ended, and when; None after an answer that closes it."""
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -3,6 +3,7 @@
 
 from .limit_check import LimitCheck
 from .loss_check import LossCheck
+from .organisation_check import OrganisationCheck
 from .work import TIMED_SERVICES
 
 PROMISES = (408, 421, 429, 503)
@@ -73,6 +74,8 @@
         self.cold_arrivals = collections.defaultdict(collections.deque)
         self.limits = LimitCheck()
         self.losses = LossCheck(GRACE_S)
+        self.organisations = OrganisationCheck(
+            self.broken, self.is_settled, self.is_instance_in_touch, CONFIGURATION_S)
         # By run of an instance: when its process was started.
         self.starts = {}
         # When an instance first passed on an answer that says that its target leaves, by both names.
@@ -104,6 +107,7 @@
             elif body not in expected:
                 self.broken("mixed", f"{request.request} got another body")
         self.check_route(request, status)
+        self.organisations.answered(request, status, signature is None)
 
     def check_route(self, request, status):
         """A route that was added is found two seconds later, and for good once it was found."""
@@ -199,13 +203,22 @@
         """The bound has passed, and the instances were in touch all the while."""
         return now - since > bound and since - self.settled_since() >= CONTACT_S
 
+    def is_settled(self, since, now, bound):
+        """The bound has passed since the change, or since instances that were out of touch are in
+        touch again."""
+        return now - max(since, self.settled_since() + CONTACT_S) > bound
+
+    def is_instance_in_touch(self, instance, now):
+        """False if the instance was started or got SIGTERM in the last CONTACT_S."""
+        return all(now - at > CONTACT_S for at in (self.losses.stops.get(instance, -CONTACT_S),
+                                                   self.starts.get(instance, -CONTACT_S)))
+
     def is_in_touch(self, target, request, now):
         """False if the instance that sent a request of a caller around planned stops was started or
         got SIGTERM in the last CONTACT_S: seed 42 of the planned stops, started 2.5 s before."""
         known = self.requests.get(request)
-        return target.service not in TIMED_SERVICES or known is None or all(
-            now - at > CONTACT_S for at in (self.losses.stops.get(known.instance, -CONTACT_S),
-                                            self.starts.get(known.instance, -CONTACT_S)))
+        return target.service not in TIMED_SERVICES or known is None or \
+            self.is_instance_in_touch(known.instance, now)
 
     def crashing(self, path, began):
         """A request that crashes its targets was sent many times since `began`."""
--- a/tools/soak/http_text.py
+++ b/tools/soak/http_text.py
@@ -2,6 +2,8 @@
 import asyncio
 import json
 
+REPEATABLE_FIELD = "x-catkintally-tenant"
+
 
 async def read_head(reader):
     """First line and header fields (lower case); None at the end of the connection."""
@@ -15,7 +17,10 @@
     fields = {}
     for line in lines[1:-2]:
         name, _, value = line.partition(":")
-        fields[name.strip().lower()] = value.strip()
+        name, value = name.strip().lower(), value.strip()
+        # A target that takes the first of several names must not be fooled.
+        fields[name] = f"{fields[name]}, {value}" if name == REPEATABLE_FIELD and name in fields \
+            else value
     return lines[0], fields
 
 
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -23,6 +23,7 @@
 from .busy import Processors
 from .callers import TIMEOUT_S, Caller
 from .checks import WARMUP_PER_S, Checks
+from .organisations import Organisations
 from .proxy import Proxy
 from .stops import StopSeries
 from .targets import Target
@@ -86,6 +87,7 @@
         self.checks = Checks(
             settled_since=lambda: time.monotonic() if self.disturbances else self.settled_since,
             cold=lambda target, now: now < target.cold_until)
+        self.organisations = Organisations(seed, self.checks)
         self.locks = {}
         self.revivals = set()
         self.version = 0
@@ -141,9 +143,12 @@
         return f"/v{self.version}/" if self.version else "/l/"
 
     async def configure(self):
-        """Writes a configuration with one more route; known to callers once it is accepted."""
-        version = self.version + 1
+        """Writes a configuration with one more route and the keys as they are to be; known to callers
+        once it is accepted. True if it was."""
+        async with self.holding("configuration"):
+            return await self.write_configuration(self.version + 1)
 
+    async def write_configuration(self, version):
         def rule(name, prefix, kind, service, objective, timeout_s=TIMEOUT_S):
             return {"name": name, "route-type": kind, "target-latency-ms": objective,
                     "priority": 1, "match": {"path-prefix": prefix},
@@ -153,9 +158,11 @@
                  rule("orders", "/o/", "unsafe", "order", 300)]
         rules += [rule(f"v{each}", f"/v{each}/", "safe", "lookup", 200)
                   for each in range(1, version + 1)]
+        rules += self.organisations.rules(rule)
         rules += [rule(each.service + each.prefix[1], each.prefix,
                        "safe" if each.safe else "unsafe", each.service, 1200, each.timeout_s)
-                  for each in ROUTES]
+                  | self.organisations.without_key() for each in ROUTES]
+        organisations = self.organisations.members()
         services = ("lookup", "order", "records", "deposits")
         clusters = [{"name": name, "health-path": "/healthz", "max-connections": 200,
                      "warmup-s": 3.0, "warmup-per-s": WARMUP_PER_S} for name in services]
@@ -163,15 +170,17 @@
             "version": f"{version:08x}",
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576,
                        "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-            "listeners": [{"host": "soak.example", "rules": rules}], "clusters": clusters}
-        async with self.holding("configuration"):
-            sent = time.monotonic()
-            accepted = await self.store("config", "main", configuration)
-            if accepted:
-                self.checks.losses.configured(sent, time.monotonic())
-                self.version = version
-                self.configuration = configuration
-                self.checks.routes_since[f"v{version}"] = time.monotonic()
+            "listeners": [{"host": "soak.example", "rules": rules}], "clusters": clusters,
+            **organisations}
+        sent = time.monotonic()
+        accepted = await self.store("config", "main", configuration)
+        if accepted:
+            self.checks.losses.configured(sent, time.monotonic())
+            self.version = version
+            self.configuration = configuration
+            self.checks.routes_since[f"v{version}"] = time.monotonic()
+            self.organisations.accepted(organisations)
+        return accepted
 
     async def write_again(self):
         """What operator and targets do once the store has returned from a copy."""
@@ -310,6 +319,7 @@
         background.append(asyncio.create_task(self.watch_lag()))
         await asyncio.sleep(1.0)
         stops = asyncio.create_task(self.stop_series())
+        background.append(asyncio.create_task(self.organisations.change_series(self)))
         await asyncio.sleep(span)
         await self.end(calls, background + [stops], float("inf"))
 
@@ -321,6 +331,7 @@
         for each in calls + background:
             each.cancel()
         await asyncio.gather(*calls, *background, return_exceptions=True)
+        await self.organisations.check_secrets(self)
         self.checks.finish(calm_from)
         await self.close()
 
@@ -334,6 +345,7 @@
         background.append(asyncio.create_task(self.incident_series(INCIDENT_PAUSE_S)))
         background.append(asyncio.create_task(self.watch_lag()))
         background.append(asyncio.create_task(self.stop_series()))
+        background.append(asyncio.create_task(self.organisations.change_series(self)))
         await asyncio.sleep(start_s)
         await self.fault_series(faults.UNPLANNED + faults.PLANNED, faults_s, 0.5)
         self.recovering = True
--- a/tools/soak/targets.py
+++ b/tools/soak/targets.py
@@ -273,7 +273,11 @@
         if fields.get("x-catkintally-expect-instance", self.name) != self.name:
             return http_text.message("HTTP/1.1 421 Misdirected Request", marks)
         self.arrived += 1
-        self.world.checks.arrived(self, request, time.monotonic())
+        checks = self.world.checks
+        checks.arrived(self, request, time.monotonic())
+        known = checks.requests.get(request)
+        checks.organisations.arrived(
+            self.name, request, known.instance if known else "", fields, time.monotonic())
         if self.pause_s:
             marks["X-Catkintally-Not-Executed"] = "1"
             marks["Retry-After"] = f"{self.pause_s:.1f}"
