Probing: use the shortage policy, and tell full targets from crashed ones

A full target may reset connections. If the last load report or the requests in flight show that the target was full, and it accepts a new connection, it is left out for 200 ms and nothing else. Requests that may not run twice are not sent to a target whose last report leaves no free slot.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/admission/lost_request_detector.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/admission/retry_budget.hpp>
+#include <catkintally/core/admission/shortage_policy.hpp>
 #include <catkintally/core/admission/split_mix.hpp>
 #include <catkintally/core/admission/target_barriers.hpp>
 #include <catkintally/core/admission/target_estimate.hpp>
@@ -49,6 +50,9 @@
     duration took{};
     std::uint64_t table_revision = 0;
     std::vector<probed_target> asked;
+    std::uint32_t priority = 0;
+    /// Treatment of the request because its service was short of slots.
+    shortage_terms shortage;
     /// Rate limits of the service's targets, for a refusal because of them.
     std::vector<target_limit_dump> limits;
 };
@@ -75,6 +79,11 @@
     /// Enforces the rate limits that targets name; null if none are enforced. Must outlive the
     /// gateway.
     target_rate_limiter* limiter = nullptr;
+    /// The shortage policy and the handling of full targets apply to services whose targets have at
+    /// least this many slots.
+    std::uint32_t shortage_min_slots = 4;
+    /// Returns the requests per second of an organisation over all instances; may be empty.
+    organisation_usage::fleet_rate organisation_rate{};
     /// Returns the size of the fleet; may be empty if this is the only instance.
     std::function<fleet_size()> fleet{};
     /// Sends one health check; calls the callback exactly once, never inline.
@@ -136,6 +145,15 @@
         return barriers_.dump(options_.timers->now());
     }
 
+    /// State of the services to which the shortage policy applies.
+    [[nodiscard]] std::vector<shortage_dump> shortage() const
+    {
+        return shortage_.dump(options_.timers->now());
+    }
+
+    /// Number of connections that targets have reset because they were full.
+    [[nodiscard]] std::uint64_t full_resets() const { return full_resets_; }
+
     /// Number of targets that are currently ejected.
     [[nodiscard]] std::size_t ejected_count() const;
 
@@ -159,6 +177,13 @@
         std::uint64_t rank = 0;
         /// Requests of this instance in flight, by the time of their grant.
         std::multiset<time_point> in_flight;
+        /// Load that the target has last reported, and when the report arrived.
+        std::optional<load_report> last_load;
+        time_point last_load_at{};
+        /// Until then the target counts as full, whatever it reports: it has reset a connection.
+        time_point full_until{};
+        /// Connections that it has reset because it was full, since it last answered a request.
+        std::uint32_t resets_since_answer = 0;
     };
     struct probe_attempt
     {
@@ -173,6 +198,7 @@
         time_point submitted_at{};
         /// Until then the request probes again if it finds no acceptable slot.
         time_point probe_until{};
+        shortage_terms terms;
         std::uint32_t round = 0;
         std::vector<probe_attempt> probes;
         timer_id timer = 0;
@@ -197,6 +223,10 @@
         duration objective_left{};
         std::string trace_id;
         std::uint64_t fingerprint = 0;
+        std::uint32_t priority = 0;
+        bool idempotent = false;
+        /// The request takes one of the last slots of the target.
+        bool nearly_full = false;
         /// Called if the target has lost the request; may be empty.
         std::function<void(loss_cause)> on_lost;
     };
@@ -225,6 +255,13 @@
     /// Baseline for the limits on the slowdown of a target: the lowest slowdown that targets of the
     /// service reported recently; 1 if that is lower or there are too few reports.
     [[nodiscard]] double baseline_slowdown(const std::string& service) const;
+    /// True if the target is not so slow that another probe round is worthwhile.
+    [[nodiscard]] static bool is_acceptable(const probe_attempt& attempt, double baseline);
+    /// True if the target has a slot for the request, in addition to those that it must leave free.
+    [[nodiscard]] bool
+    has_slot_for(const pending_admission& admission, const probe_attempt& attempt) const;
+    [[nodiscard]] static bool
+    is_nearly_full(const pending_admission& admission, const target_row& target);
     void update_estimate(const pending_admission& admission, probe_attempt& attempt) const;
     void decide(request_id id);
     void schedule_next_probe(request_id id);
@@ -234,7 +271,16 @@
     void watch(request_id id, std::function<void(loss_cause)> on_lost);
     void check_target(const target_key& key, std::function<void(probe_report)> done);
     void try_connect_target(const target_key& key, std::function<void(bool)> completed);
-    void confirm_crash(const grant& completed);
+    /// Opens a new connection to the target and records a crash if it is not accepted. Otherwise
+    /// calls `on_accepted`, which may be empty.
+    void confirm_crash(const grant& completed, const std::function<void()>& on_accepted = {});
+    /// Handles a connection that ended before the response, while `others` further requests of this
+    /// instance were in flight at the target.
+    void handle_connection_lost(const grant& completed, std::size_t others);
+    /// True if the target was probably full when it ended the connection.
+    [[nodiscard]] bool was_full(const grant& completed, std::size_t others) const;
+    /// True if a report that arrived after the grant shows that the target has no free slot.
+    [[nodiscard]] bool is_full_since(const grant& granted) const;
     /// True if the table lists a later start of the target than the one that was granted.
     [[nodiscard]] bool has_restarted(const grant& granted) const;
     void handle_loss(request_id id, loss_cause cause);
@@ -276,6 +322,8 @@
     target_barriers barriers_;
     lost_request_detector lost_request_detector_;
     crash_history crashes_;
+    shortage_policy shortage_;
+    std::uint64_t full_resets_ = 0;
     split_mix random_;
     std::uint64_t probes_ = 0;
     /// Expires with this object; callbacks check it.
--- a/packages/core/include/catkintally/core/admission/target_estimate.hpp
+++ b/packages/core/include/catkintally/core/admission/target_estimate.hpp
@@ -29,6 +29,8 @@
     std::uint32_t waiting = 0;
     /// True if the target has a free slot.
     bool free = true;
+    /// Number of free slots.
+    std::uint32_t free_slots = 1;
 };
 
 /// Estimates the performance of one more request at a target that has just reported its load.
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cassert>
 #include <functional>
-#include <iterator>
 
 namespace catkintally::core
 {
@@ -23,11 +22,6 @@
 /// slowdown is chosen without waiting for the remaining probe reports.
 constexpr double immediate_choice_slowdown = 1.2;
 
-/// A target with a free slot whose relative time is at most this multiple of the service's baseline
-/// slowdown is chosen without another probe round: that would cost a round trip and rarely finds a
-/// better target.
-constexpr double acceptable_slowdown = 2.0;
-
 /// Delay before a request that found no acceptable slot probes again. Slots become free and target
 /// speeds change within a fraction of the time that work takes, which is tens of milliseconds.
 constexpr duration reprobe_interval = milliseconds(30);
@@ -66,6 +60,10 @@
            .try_connect = [this](const target_key& key, std::function<void()> completed)
            { try_connect_target(key, [completed = std::move(completed)](bool) { completed(); }); },
            .on_lost = [this](request_id id, loss_cause cause) { handle_loss(id, cause); }})
+    , shortage_(
+          {.min_slots = options_.shortage_min_slots,
+           .seed = options_.seed,
+           .organisation_rate = options_.organisation_rate})
     , random_(options_.seed)
 {
     assert(options_.timers != nullptr && options_.probe && options_.try_connect);
@@ -144,6 +142,7 @@
         }
     }
     barriers_.remove_unlisted(*table_, now);
+    shortage_.apply(*table_);
     std::erase_if(
         slowdown_windows_,
         [this](const auto& each) { return !table_->services.contains(each.first); });
@@ -180,8 +179,11 @@
     admission.submitted_at = options_.timers->now();
     const auto probing_time = std::chrono::duration_cast<duration>(
         admission.request.objective_left * probing_time_fraction);
-    admission.probe_until = admission.submitted_at +
-                            (probing_time > duration::zero() ? probing_time : default_probing_time);
+    admission.terms = shortage_.admit(admission.request, admission.submitted_at);
+    admission.probe_until =
+        admission.submitted_at +
+        admission.terms.probing_time.value_or(
+            probing_time > duration::zero() ? probing_time : default_probing_time);
     if (!allowed)
     {
         finish(id, decision_code::refused_retry_budget, nullptr, random_retry_after());
@@ -192,6 +194,11 @@
         finish(id, decision_code::refused_crashing_request, nullptr, crash_history::retention_time);
         return;
     }
+    if (admission.terms.refused)
+    {
+        finish(id, decision_code::refused_deadline, nullptr, random_retry_after());
+        return;
+    }
     start_probe_round(id);
 }
 
@@ -257,6 +264,8 @@
     }
     observe_limit(key, report.limit, options_.timers->now() - report.took, false);
     note_statements(key, report.leaving, report.pause);
+    known->second.last_load = report.load;
+    known->second.last_load_at = options_.timers->now();
     known->second.health.answered();
     known->second.health.set_cold_until(options_.timers->now() + report.warmup_remaining);
     if (report.load)
@@ -298,80 +307,13 @@
     }
 }
 
-double probing_gateway::baseline_slowdown(const std::string& service) const
-{
-    const auto found = slowdown_windows_.find(service);
-    return found == slowdown_windows_.end()
-               ? 1
-               : found->second.service_slowdown(options_.timers->now());
-}
-
-void probing_gateway::update_estimate(
-    const pending_admission& admission, probe_attempt& attempt) const
-{
-    const target_key key(admission.request.service, attempt.name);
-    const target_row* target = find_row(key);
-    const auto known = targets_.find(key);
-    if (target == nullptr || known == targets_.end())
-    {
-        return;
-    }
-    const auto& in_flight = known->second.in_flight;
-    target_estimate_inputs inputs;
-    inputs.load = attempt.result.report.load.value_or(load_report{});
-    inputs.slots = target->slots;
-    inputs.sent_since_report = static_cast<std::uint32_t>(
-        std::distance(in_flight.lower_bound(attempt.probed_at), in_flight.end()));
-    inputs.cold = known->second.health.is_cold(options_.timers->now());
-    inputs.remote = target->failure_domain != options_.failure_domain;
-    attempt.result.estimate = estimate(inputs);
-}
-
-const probing_gateway::probe_attempt* probing_gateway::find_best(pending_admission& admission)
-{
-    const probe_attempt* best = nullptr;
-    const double baseline = baseline_slowdown(admission.request.service);
-    for (probe_attempt& each : admission.probes)
-    {
-        const target_key key(admission.request.service, each.name);
-        const target_row* target = find_row(key);
-        const probe_report& report = each.result.report;
-        if (each.result.pending || target == nullptr ||
-            !may_get_grant(admission.request.service, *target) || !report.answered ||
-            !report.healthy || (!report.name.empty() && report.name != each.name))
-        {
-            continue;
-        }
-        const service_config& config = *service(admission.request.service);
-        if (!within_warmup_limit(config, *target) || !within_rate_limit(config, *target))
-        {
-            continue;
-        }
-        update_estimate(admission, each);
-        // Requests are not queued at targets, where they would start at whatever speed the target
-        // has by then. A target that is slow for a moment is better used when it is fast again.
-        const double slowdown = report.load ? report.load->slowdown : 1;
-        if (!each.result.estimate.free || slowdown > acceptable_slowdown * baseline)
-        {
-            continue;
-        }
-        if (best == nullptr ||
-            each.result.estimate.relative_time < best->result.estimate.relative_time)
-        {
-            best = &each;
-        }
-    }
-    return best;
-}
-
 void probing_gateway::decide(request_id id)
 {
     pending_admission& admission = pending_admissions_.at(id);
     options_.timers->cancel(std::exchange(admission.timer, 0));
     const probe_attempt* best = find_best(admission);
     const double baseline = baseline_slowdown(admission.request.service);
-    const bool acceptable =
-        best != nullptr && best->result.estimate.relative_time <= acceptable_slowdown * baseline;
+    const bool acceptable = best != nullptr && is_acceptable(*best, baseline);
     if (!acceptable && admission.round < max_rounds)
     {
         start_probe_round(id);
@@ -417,16 +359,21 @@
         [](const probe_attempt& each) { return each.result.report.answered; });
     finish(
         id, any_answered ? decision_code::refused_queue_full : decision_code::refused_no_target,
-        nullptr, random_retry_after());
+        nullptr,
+        shortage_.retry_after(
+            admission.request, admission.terms, random_retry_after(), options_.timers->now()));
 }
 
 void probing_gateway::schedule_next_probe(request_id id)
 {
     pending_admission& admission = pending_admissions_.at(id);
+    shortage_.record_pass(admission.request.service, false, options_.timers->now());
     admission.round = 0;
     admission.probes.clear();
-    admission.timer =
-        options_.timers->schedule_after(reprobe_interval, [this, id] { start_probe_round(id); });
+    admission.timer = options_.timers->schedule_after(
+        std::max<duration>(
+            reprobe_interval * (1 + admission.terms.rank), admission.terms.min_probe_interval),
+        [this, id] { start_probe_round(id); });
 }
 
 duration probing_gateway::random_spread()
@@ -448,6 +395,11 @@
     options_.timers->cancel(admission.timer);
     const auto now = options_.timers->now();
     retry_budget& budget = retry_budgets_[admission.request.service];
+    if (target != nullptr || code == decision_code::refused_queue_full)
+    {
+        shortage_.record_pass(admission.request.service, target != nullptr, now);
+        shortage_.record_decision(admission.request, admission.terms, target != nullptr, now);
+    }
     if (target != nullptr)
     {
         const target_key key(admission.request.service, target->name);
@@ -458,6 +410,9 @@
             .objective_left = admission.request.objective_left,
             .trace_id = admission.request.trace_id,
             .fingerprint = admission.request.fingerprint,
+            .priority = admission.request.priority,
+            .idempotent = admission.request.idempotent,
+            .nearly_full = is_nearly_full(admission, *target),
             .on_lost = nullptr};
         state(key).in_flight.insert(now);
         state(key).health.sent(now);
@@ -482,6 +437,8 @@
         decision.service = admission.request.service;
         decision.code = code;
         decision.target = target == nullptr ? "" : target->name;
+        decision.priority = admission.request.priority;
+        decision.shortage = admission.terms;
         decision.took = now - admission.submitted_at;
         decision.table_revision = table_->revision;
         for (probe_attempt& each : admission.probes)
@@ -516,7 +473,8 @@
         return false;
     }
     const target_row* target = find_row(found->second.target);
-    if (target == nullptr || !takes_requests(found->second.target.first, *target))
+    if (target == nullptr || !takes_requests(found->second.target.first, *target) ||
+        (!found->second.idempotent && is_full_since(found->second)))
     {
         return false;
     }
@@ -552,14 +510,16 @@
     {
     case completion_outcome::answered:
         known->second.health.succeeded();
+        known->second.resets_since_answer = 0;
+        shortage_.record_work(
+            completed.target.first, completed.priority, report.service_time, completed.nearly_full);
         if (crashes_.answered(completed.fingerprint) && options_.cleared)
         {
             options_.cleared(completed.fingerprint);
         }
         break;
     case completion_outcome::connection_lost:
-        confirm_crash(completed);
-        report_failure(completed.target);
+        handle_connection_lost(completed, in_flight.size());
         break;
     case completion_outcome::answered_error:
     case completion_outcome::timed_out:
--- a/packages/core/src/admission/probing_gateway_losses.cpp
+++ b/packages/core/src/admission/probing_gateway_losses.cpp
@@ -14,6 +14,24 @@
 /// cost little.
 constexpr duration default_check_delay = std::chrono::milliseconds(200);
 
+/// Reports that are older than this say nothing about the moment at which a connection was reset.
+constexpr duration max_load_age = std::chrono::seconds(1);
+
+/// A report of free slots that is not older than this is believed: a queue does not fill so fast.
+constexpr duration recent_load_age = std::chrono::milliseconds(200);
+
+/// Further requests of this instance in flight at a target of which it is likely that the others
+/// of the fleet have filled its queue as well.
+constexpr std::size_t several_in_flight = 3;
+
+/// A target that was full gets no requests of this instance for so long. Several of its slots
+/// become free in that time.
+constexpr duration full_time = std::chrono::milliseconds(200);
+
+/// A full target still answers requests. One that has reset so many connections in a row without
+/// an answer is broken.
+constexpr std::uint32_t max_resets_since_answer = 8;
+
 } // namespace
 
 void probing_gateway::watch(request_id id, std::function<void(loss_cause)> on_lost)
@@ -70,9 +88,10 @@
     return crashes_.add(crash, options_.timers->now());
 }
 
-void probing_gateway::confirm_crash(const grant& completed)
+void probing_gateway::confirm_crash(
+    const grant& completed, const std::function<void()>& on_accepted)
 {
-    if (completed.fingerprint == 0)
+    if (completed.fingerprint == 0 && !on_accepted)
     {
         return;
     }
@@ -85,23 +104,88 @@
         .crashed_at = options_.timers->now()};
     try_connect_target(
         completed.target,
-        [this, crash, key = completed.target, alive = std::weak_ptr(alive_)](bool connected)
+        [this, crash, key = completed.target, on_accepted,
+         alive = std::weak_ptr(alive_)](bool connected)
         {
-            if (alive.expired() || connected)
+            if (alive.expired())
+            {
+                return;
+            }
+            if (connected)
             {
+                if (on_accepted)
+                {
+                    on_accepted();
+                }
                 return;
             }
             if (find_row(key) != nullptr)
             {
                 report_failure(key, target_failure::unreachable);
             }
-            if (note_crash(crash) && options_.crashed)
+            if (crash.fingerprint != 0 && note_crash(crash) && options_.crashed)
             {
                 options_.crashed(crash);
             }
         });
 }
 
+bool probing_gateway::was_full(const grant& completed, std::size_t others) const
+{
+    const auto known = targets_.find(completed.target);
+    if (known == targets_.end() || !shortage_.covers(completed.target.first) ||
+        known->second.resets_since_answer >= max_resets_since_answer)
+    {
+        return false;
+    }
+    const target_state& state = known->second;
+    const duration age = options_.timers->now() - state.last_load_at;
+    if (state.last_load && state.last_load->slots > 0 && age <= max_load_age)
+    {
+        // The report may be older than some requests in flight.
+        const auto unreported = static_cast<std::size_t>(
+            std::distance(state.in_flight.lower_bound(state.last_load_at), state.in_flight.end()));
+        const load_report& load = *state.last_load;
+        if (load.running + load.queued + unreported >= load.slots)
+        {
+            return true;
+        }
+        if (age <= recent_load_age)
+        {
+            return false;
+        }
+    }
+    return others >= several_in_flight;
+}
+
+bool probing_gateway::is_full_since(const grant& granted) const
+{
+    const auto known = targets_.find(granted.target);
+    if (known == targets_.end() || !shortage_.covers(granted.target.first))
+    {
+        return false;
+    }
+    const target_state& state = known->second;
+    return options_.timers->now() < state.full_until ||
+           (state.last_load && state.last_load->slots > 0 &&
+            state.last_load_at > granted.granted_at &&
+            state.last_load->running + state.last_load->queued >= state.last_load->slots);
+}
+
+void probing_gateway::handle_connection_lost(const grant& completed, std::size_t others)
+{
+    if (!was_full(completed, others))
+    {
+        confirm_crash(completed);
+        report_failure(completed.target);
+        return;
+    }
+    target_state& full = state(completed.target);
+    full.full_until = options_.timers->now() + full_time;
+    ++full.resets_since_answer;
+    confirm_crash(completed, [this] { ++full_resets_; });
+}
+
 void probing_gateway::handle_loss(request_id id, loss_cause cause)
 {
     const auto found = grants_.find(id);
--- a/packages/core/src/admission/target_estimate.cpp
+++ b/packages/core/src/admission/target_estimate.cpp
@@ -31,6 +31,7 @@
         static_cast<double>(inputs.load.running) + inputs.load.queued + inputs.sent_since_report;
     target_estimate result;
     result.free = ahead < slots;
+    result.free_slots = static_cast<std::uint32_t>(std::max(0.0, slots - ahead));
     result.waiting = static_cast<std::uint32_t>(std::max(0.0, ahead - slots));
 
     // Every `slots` requests ahead take about one usual service time.
--- a/packages/core/tests/admission/probing_fixture.hpp
+++ b/packages/core/tests/admission/probing_fixture.hpp
@@ -73,6 +73,17 @@
 
     void apply() { probing->apply(std::make_shared<const table_snapshot>(table)); }
 
+    /// Gives all targets so many slots, in the table and in their reports.
+    void set_slots(std::uint32_t slots)
+    {
+        for (target_row& row : table.services["desk"].targets)
+        {
+            row.slots = slots;
+            report(row.name).load->slots = slots;
+        }
+        apply();
+    }
+
     /// Sets the probe report of a target from now on.
     probe_report& report(const std::string& name)
     {
@@ -89,7 +100,10 @@
         admission_request request;
         request.id = id;
         request.service = "desk";
-        request.idempotent = true;
+        request.idempotent = idempotent;
+        request.priority = priority;
+        request.organisation = organisation;
+        request.deadline_left = deadline;
         request.fingerprint = fingerprint;
         request.objective_left = objective;
         request.retry = retry;
@@ -130,6 +144,10 @@
     table_snapshot table;
     /// Time that requests have left until their latency objective; zero for none.
     duration objective{};
+    duration deadline{};
+    bool idempotent = true;
+    std::uint32_t priority = 0;
+    std::string organisation;
     std::map<std::string, probe_report> reports;
     /// Names of the probed targets, in the order of the probes.
     std::vector<std::string> probed_names;
