--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_control.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_control.hpp
@@ -19,7 +19,7 @@
 
 /// Admin port of the target stand-in: GET /log, GET /status, POST /reset and POST /control. A
 /// control object names its target ("all" for every target) and any of: slow_factor with slow_ms,
-/// drain, watch_starts, shed, fail, cold, crash, report.
+/// drain, watch_starts, shed, reset_when_full, fail, cold, crash, report.
 class target_control
 {
 public:
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_log.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_log.hpp
@@ -22,6 +22,8 @@
         std::uint64_t cancelled = 0;
         std::uint64_t shed = 0;
         std::uint64_t refused_cold = 0;
+        /// Connections that were reset because the target was full.
+        std::uint64_t reset_full = 0;
         std::uint64_t crashes = 0;
         std::uint64_t max_running = 0;
         std::uint64_t max_running_cold = 0;
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_model.hpp
@@ -23,6 +23,8 @@
     bool not_run = false;
     /// The connection is closed without a response.
     bool close = false;
+    /// The connection is reset without a response.
+    bool reset = false;
 };
 
 /// One request at a target.
@@ -67,6 +69,7 @@
     void watch_starts(bool watched);
     void set_shedding(bool shedding) { shedding_ = shedding; }
     void set_failing(bool failing) { failing_ = failing; }
+    void set_reset_when_full(bool reset) { options_.reset_when_full = reset; }
     void set_report(report_mode mode) { report_ = mode; }
 
     /// Text of the rate limit that all answers name from now on; empty: none. Not enforced here.
@@ -90,6 +93,7 @@
     void finish(std::uint64_t handle);
     void start_queued();
     void refuse_cold(target_request request);
+    [[nodiscard]] bool is_full() const;
     core::duration draw_service_time();
     std::string state_text() const;
     /// Schedules a callback that is dropped if the target crashes or is destroyed before.
--- a/packages/stand_ins/include/catkintally/stand_ins/target/target_options.hpp
+++ b/packages/stand_ins/include/catkintally/stand_ins/target/target_options.hpp
@@ -3,6 +3,7 @@
 #include <catkintally/core/time/timer_service.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace catkintally::stand_ins
@@ -12,8 +13,12 @@
 struct target_options
 {
     std::string name = "target";
-    /// Requests that run at the same time; as many again may wait.
+    /// Requests that run at the same time.
     std::uint32_t slots = 2;
+    /// Requests that may wait; unset: as many as there are slots.
+    std::optional<std::uint32_t> queue{};
+    /// A request for which there is no room gets its connection reset instead of a refusal.
+    bool reset_when_full = false;
     /// Scale of the service time; the mean is 1.5 times this value.
     core::duration service_time = std::chrono::milliseconds(10);
     std::uint64_t seed = 1;
--- a/packages/stand_ins/programs/target_stand_in.cpp
+++ b/packages/stand_ins/programs/target_stand_in.cpp
@@ -26,6 +26,8 @@
   --count=N          Number of targets [default: 8].
   --prefix=TEXT      Start of the targets' names [default: t].
   --slots=N          Requests that one target runs at the same time [default: 2].
+  --queue=N          Requests that may wait at one target; -1: as many as slots [default: -1].
+  --reset-when-full  A full target resets connections instead of refusing requests.
   --service-us=N     Scale of the service time in microseconds [default: 10000].
   --seed=N           Seed of the service times [default: 1].
   --shed-status=N    Status of a refusal that was not run [default: 503].
@@ -50,8 +52,11 @@
     runtime::libevent_timer_service timers(loop);
     stand_ins::target_log log;
 
+    const int queue = std::stoi(arguments["--queue"].asString());
     stand_ins::target_options options{
         .slots = static_cast<std::uint32_t>(number("--slots")),
+        .queue = queue < 0 ? std::nullopt : std::optional(static_cast<std::uint32_t>(queue)),
+        .reset_when_full = arguments["--reset-when-full"].asBool(),
         .service_time = std::chrono::microseconds(number("--service-us")),
         .shed_status = static_cast<int>(number("--shed-status")),
         .start_cold = arguments["--cold"].asBool(),
--- a/packages/stand_ins/src/target/target_control.cpp
+++ b/packages/stand_ins/src/target/target_control.cpp
@@ -45,7 +45,7 @@
         return value.is_number();
     }
     return (name == "drain" || name == "shed" || name == "fail" || name == "cold" ||
-            name == "crash" || name == "watch_starts") &&
+            name == "crash" || name == "watch_starts" || name == "reset_when_full") &&
            value.is_bool();
 }
 
@@ -88,6 +88,10 @@
     {
         target.set_shedding(*shed);
     }
+    if (const bool* reset = flag("reset_when_full"))
+    {
+        target.set_reset_when_full(*reset);
+    }
     if (const bool* fail = flag("fail"))
     {
         target.set_failing(*fail);
--- a/packages/stand_ins/src/target/target_log.cpp
+++ b/packages/stand_ins/src/target/target_log.cpp
@@ -36,6 +36,7 @@
             {"cancelled", c.cancelled},
             {"shed", c.shed},
             {"refused_cold", c.refused_cold},
+            {"reset_full", c.reset_full},
             {"crashes", c.crashes},
             {"max_running", c.max_running},
             {"max_running_cold", c.max_running_cold},
--- a/packages/stand_ins/src/target/target_model.cpp
+++ b/packages/stand_ins/src/target/target_model.cpp
@@ -69,7 +69,15 @@
         return handle;
     }
     const bool expired = request.deadline && *request.deadline <= core::duration::zero();
-    if (shedding_ || expired || running_.size() + queue_.size() >= std::size_t{2} * options_.slots)
+    if (options_.reset_when_full && is_full())
+    {
+        ++log_.of(options_.name).reset_full;
+        schedule(
+            core::duration::zero(),
+            [answer = std::move(request.answer)] { answer({.reset = true}); });
+        return handle;
+    }
+    if (shedding_ || expired || is_full())
     {
         ++log_.of(options_.name).shed;
         request.answer({.status = options_.shed_status, .not_run = true});
@@ -83,6 +91,12 @@
     return handle;
 }
 
+bool target_model::is_full() const
+{
+    const std::size_t queue = options_.queue.value_or(options_.slots);
+    return running_.size() + queue_.size() >= options_.slots + queue;
+}
+
 void target_model::refuse_cold(target_request request)
 {
     // The overload costs the target its progress, and everything it runs takes longer.
--- a/packages/stand_ins/src/target/target_server.cpp
+++ b/packages/stand_ins/src/target/target_server.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <sys/socket.h>
 
 #include <cstdlib>
 #include <stdexcept>
@@ -196,8 +197,17 @@
         return;
     }
     exchange& ended = *node.mapped();
-    if (given.close)
+    if (given.close || given.reset)
     {
+        if (given.reset)
+        {
+            // evhttp ends connections in both directions in turn, which callers see as a close.
+            // Dissolving the association resets the connection.
+            const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
+            bufferevent* stream =
+                evhttp_connection_get_bufferevent(evhttp_request_get_connection(ended.request));
+            connect(bufferevent_getfd(stream), &unspecified, sizeof unspecified);
+        }
         // Frees the request as well. The caller is a timer or the watch for closed connections,
         // never a callback of evhttp.
         evhttp_connection_free(evhttp_request_get_connection(ended.request));
