Probing: settings, metrics and dump of the shortage policy

shortage.min_slots (4) says which services the policy applies to. Decisions made while a service is short of slots are counted by priority (catkintally_shortage_decisions_total), connections that full targets reset in catkintally_targets_full_resets; the dump has a section `shortage`, and events 4001 and 4002 name the rank of the request.

--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/news/reader_election.hpp>
 #include <catkintally/entry/instance.hpp>
 #include <catkintally/entry/news/gossip_node.hpp>
+#include <catkintally/entry/process/shortage_metrics.hpp>
 #include <catkintally/entry/process/target_prober.hpp>
 #include <catkintally/entry/table/configuration_follower.hpp>
 #include <catkintally/entry/table/table_watcher.hpp>
@@ -67,6 +68,7 @@
     platform::http_object_store quiet_store_;
     target_prober prober_;
     core::target_rate_limiter limiter_;
+    shortage_metrics shortage_metrics_;
     core::probing_gateway gateway_;
     instance instance_;
     /// One of the two follows the store, by platform.configuration.
--- a/packages/entry/src/process/probing_log.cpp
+++ b/packages/entry/src/process/probing_log.cpp
@@ -58,6 +58,12 @@
     return out.str();
 }
 
+/// Rank of a request that was decided while its service was short of slots.
+std::string rank_text(const core::shortage_terms& terms)
+{
+    return terms.short_of_slots ? std::to_string(terms.rank) + (terms.excess ? "/excess" : "") : "";
+}
+
 std::string rate_text(const std::optional<double>& per_second)
 {
     std::ostringstream out;
@@ -76,6 +82,7 @@
          {"service", decision.service},
          {"code", wire::EnumNamedecision_code(decision.code)},
          {"target", decision.target},
+         {"rank", rank_text(decision.shortage)},
          {"took_ms", ms_text(decision.took)},
          {"table", std::to_string(decision.table_revision)},
          {"asked", asked_text(decision.asked)},
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -216,7 +216,12 @@
             news_->broadcast_suspicion_cleared(fingerprint);
         }
     };
-    options.on_decided = log_decision;
+    options.shortage_min_slots = static_cast<std::uint32_t>(settings_.shortage.min_slots);
+    options.on_decided = [this](const core::probing_decision& decision)
+    {
+        log_decision(decision);
+        shortage_metrics_.record(decision, instance_.metrics());
+    };
     options.on_lost =
         [](const std::string& trace_id, const std::string& target, core::loss_cause cause)
     {
@@ -352,6 +357,10 @@
         [this] { return static_cast<double>(gateway_.barriers().size()); });
     instance_.admin().add_section(
         "target_barriers", [this] { return to_json(gateway_.barriers(), timers_.now()); });
+    metrics.gauge(
+        "catkintally_targets_full_resets", {},
+        [this] { return static_cast<double>(gateway_.full_resets()); });
+    instance_.admin().add_section("shortage", [this] { return to_json(gateway_.shortage()); });
     instance_.admin().add_section("store", [this] { return store_dump(); });
     if (news_)
     {
