Admission: overflow of requests to other failure domains, off by default

A request probes targets of its own domain as long as there are any that it has not probed, so a domain that is short never uses free slots elsewhere. domain_overflow records what probes find in each domain and compares the expected cost of going on at home with that of probing elsewhere. A later round of a request that found nothing at home leaves if that is cheaper; a slowly changing fraction of first rounds leaves while home stays short.

Off by default, and for services with targets of fewer than four slots.

--- a/packages/core/include/catkintally/core/admission/admission_request.hpp
+++ b/packages/core/include/catkintally/core/admission/admission_request.hpp
@@ -31,6 +31,8 @@
     /// Hash of method, path and body, or of the idempotency key. Identifies a request that crashes
     /// the targets that run it.
     std::uint64_t fingerprint = 0;
+    /// Size of the request's body.
+    std::uint64_t body_bytes = 0;
     /// Time remaining until the caller's deadline.
     duration deadline_left{};
     /// Time remaining of the latency objective, within which a response has its full value to the
--- a/packages/core/include/catkintally/core/admission/completion_report.hpp
+++ b/packages/core/include/catkintally/core/admission/completion_report.hpp
@@ -36,6 +36,8 @@
     /// Time from the first byte sent to the end of the request.
     duration service_time{};
     std::optional<load_report> load;
+    /// Size of the response's body.
+    std::uint64_t body_bytes = 0;
     /// What the response says about the target's rate limit; nullopt if it cannot say anything.
     std::optional<limit_statement> limit{};
     /// The target says in its response that it leaves.
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/admission/crash_history.hpp>
+#include <catkintally/core/admission/domain_overflow.hpp>
 #include <catkintally/core/admission/lost_request_detector.hpp>
 #include <catkintally/core/admission/probe_report.hpp>
 #include <catkintally/core/admission/retry_budget.hpp>
@@ -75,6 +76,8 @@
     /// Enforces the rate limits that targets name; null if none are enforced. Must outlive the
     /// gateway.
     target_rate_limiter* limiter = nullptr;
+    /// Overflow to other failure domains.
+    overflow_settings overflow{};
     /// Returns the size of the fleet; may be empty if this is the only instance.
     std::function<fleet_size()> fleet{};
     /// Sends one health check; calls the callback exactly once, never inline.
@@ -95,6 +98,9 @@
     /// Called when a target is ejected, with its number of consecutive failures; may be empty.
     std::function<void(const std::string& service, const std::string& target, std::uint32_t)>
         ejected{};
+    /// Called when requests of a service begin (true) or cease (false) to overflow to other
+    /// domains; may be empty.
+    std::function<void(const std::string& service, bool active)> overflow_changed{};
 };
 
 /// Admission without coordination between instances: probes the load of a few targets of the
@@ -136,6 +142,9 @@
         return barriers_.dump(options_.timers->now());
     }
 
+    /// Overflow to other failure domains, by service; empty while it is off.
+    [[nodiscard]] std::vector<domain_overflow_dump> overflows() const;
+
     /// Number of targets that are currently ejected.
     [[nodiscard]] std::size_t ejected_count() const;
 
@@ -178,6 +187,10 @@
         timer_id timer = 0;
         /// The request waits for a token of a target's rate limit.
         bool awaits_token = false;
+        /// The overflow of the service has been asked for this request.
+        bool asked_overflow = false;
+        /// The overflow of the service has sent a probe round of this request to other domains.
+        bool left_domain = false;
     };
     /// Targets that a request may use.
     struct usable_targets
@@ -205,7 +218,15 @@
     void start_probe_round(request_id id);
     [[nodiscard]] usable_targets candidates(const pending_admission& admission) const;
     [[nodiscard]] std::vector<const target_row*>
-    choose_probe_targets(const pending_admission& admission, const usable_targets& usable);
+    choose_probe_targets(pending_admission& admission, const usable_targets& usable);
+    /// Overflow of a service; null if it is off, or if targets of the service have few slots.
+    [[nodiscard]] domain_overflow* overflow(const std::string& name);
+    void record_probe_outcome(const target_key& key, const probe_report& report);
+    /// Targets of other domains for the next probe round, if the overflow sends it there.
+    [[nodiscard]] std::vector<const target_row*>
+    choose_remote_targets(pending_admission& admission, const usable_targets& usable);
+    void record_grant(const pending_admission& admission, const target_row& target);
+    void record_response(const completion_report& report);
     void wait_for_token(request_id id);
     void stop_waiting_for_token(pending_admission& admission);
     /// True if a healthy target among the probed ones cannot be used because of its rate limit.
@@ -269,6 +290,7 @@
     std::map<std::string, retry_budget> retry_budgets_;
     /// Lowest reported slowdowns, by service.
     std::map<std::string, windowed_min_slowdown> slowdown_windows_;
+    std::map<std::string, domain_overflow> overflows_;
     std::map<request_id, pending_admission> pending_admissions_;
     std::map<request_id, grant> grants_;
     /// Number of pending admissions that wait for a token, by service.
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -147,6 +147,8 @@
     std::erase_if(
         slowdown_windows_,
         [this](const auto& each) { return !table_->services.contains(each.first); });
+    std::erase_if(
+        overflows_, [this](const auto& each) { return !table_->services.contains(each.first); });
 }
 
 const service_config* probing_gateway::service(const std::string& name) const
@@ -269,6 +271,7 @@
     request_id id, std::uint32_t round, const target_key& key, probe_report report)
 {
     update_target_state(key, report);
+    record_probe_outcome(key, report);
     const auto found = pending_admissions_.find(id);
     if (found == pending_admissions_.end() || found->second.round < round)
     {
@@ -461,6 +464,7 @@
             .on_lost = nullptr};
         state(key).in_flight.insert(now);
         state(key).health.sent(now);
+        record_grant(admission, *target);
         barriers_.note_grant(admission.request.service, *target, now);
         if (options_.limiter != nullptr)
         {
@@ -552,6 +556,7 @@
     {
     case completion_outcome::answered:
         known->second.health.succeeded();
+        record_response(report);
         if (crashes_.answered(completed.fingerprint) && options_.cleared)
         {
             options_.cleared(completed.fingerprint);
@@ -597,12 +602,4 @@
     }
 }
 
-std::size_t probing_gateway::ejected_count() const
-{
-    const auto now = options_.timers->now();
-    return static_cast<std::size_t>(std::count_if(
-        targets_.begin(), targets_.end(),
-        [now](const auto& each) { return each.second.health.is_ejected(now); }));
-}
-
 } // namespace catkintally::core
--- a/packages/core/src/admission/probing_gateway_targets.cpp
+++ b/packages/core/src/admission/probing_gateway_targets.cpp
@@ -83,9 +83,13 @@
     return found;
 }
 
-std::vector<const target_row*> probing_gateway::choose_probe_targets(
-    const pending_admission& admission, const usable_targets& usable)
+std::vector<const target_row*>
+probing_gateway::choose_probe_targets(pending_admission& admission, const usable_targets& usable)
 {
+    if (auto remote = choose_remote_targets(admission, usable); !remote.empty())
+    {
+        return remote;
+    }
     std::vector<subset_candidate> members;
     members.reserve(usable.rows.size());
     for (std::size_t index = 0; index < usable.rows.size(); ++index)
@@ -206,6 +210,14 @@
     return std::min(*first - now + random_spread(), longest);
 }
 
+std::size_t probing_gateway::ejected_count() const
+{
+    const auto now = options_.timers->now();
+    return static_cast<std::size_t>(std::count_if(
+        targets_.begin(), targets_.end(),
+        [now](const auto& each) { return each.second.health.is_ejected(now); }));
+}
+
 bool probing_gateway::has_available_target(const std::string& name) const
 {
     const service_config* config = service(name);
--- /dev/null
+++ b/packages/core/tests/admission/probing_gateway_overflow_test.cpp
@@ -0,0 +1,83 @@
+#include "probing_fixture.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+using namespace catkintally::core;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Digest of the decisions for 400 requests at 48 targets whose load changes at random.
+std::uint64_t decisions_digest(std::uint32_t slots, overflow_settings overflow)
+{
+    probing_fixture fixture(48, {.overflow = overflow});
+    fixture.objective = 800ms;
+    split_mix random(11);
+    for (target_row& each : fixture.table.services["desk"].targets)
+    {
+        each.slots = slots;
+    }
+    fixture.apply();
+    for (request_id id = 1; id <= 400; ++id)
+    {
+        for (auto& [name, report] : fixture.reports)
+        {
+            const std::uint64_t free = random.next() % 8 == 0 ? 1 + random.next() % slots : 0;
+            report.load = load_report{
+                .running = static_cast<std::uint32_t>(slots - free),
+                .slots = slots,
+                .slowdown = random.next() % 10 < 3 ? 5.0 : 1.0};
+        }
+        fixture.submit(id);
+        fixture.timers.advance(std::chrono::milliseconds(random.next() % 40));
+    }
+    fixture.timers.advance(2s);
+    std::string text;
+    for (const probing_decision& each : fixture.decisions)
+    {
+        text += std::to_string(static_cast<int>(each.code)) + each.target + '@' +
+                std::to_string(each.took.count());
+        for (const probed_target& asked : each.asked)
+        {
+            text += ',' + asked.name;
+        }
+    }
+    std::uint64_t digest = 0xcbf29ce484222325; // FNV-1a
+    for (const char each : text)
+    {
+        digest = (digest ^ static_cast<unsigned char>(each)) * 0x100000001b3;
+    }
+    return digest;
+}
+
+} // namespace
+
+// Guards against deployments that did not ask for the overflow, or whose targets have few slots,
+// and are served otherwise than before. The digests were taken before the overflow existed.
+TEST_CASE("without overflow the decisions are those of earlier versions")
+{
+    struct row
+    {
+        const char* name;
+        std::uint32_t slots;
+        overflow_settings overflow;
+        bool unchanged;
+    };
+    const std::vector<row> rows = {
+        {"few slots, off", 2, {}, true},
+        {"few slots, auto", 2, {.enabled = true}, true},
+        {"many slots, off", 6, {}, true},
+        {"many slots, fewer than the setting", 6, {.enabled = true, .min_slots = 7}, true},
+        {"many slots, auto", 6, {.enabled = true}, false}};
+    const std::map<std::uint32_t, std::uint64_t> digests = {
+        {2, 0xcaadf3b8cb27338b}, {6, 0x881c6ead77ceeeba}};
+    for (const row& each : rows)
+    {
+        INFO(each.name);
+        const bool unchanged =
+            decisions_digest(each.slots, each.overflow) == digests.at(each.slots);
+        CHECK(unchanged == each.unchanged);
+    }
+}
--- a/packages/entry/src/http/answer_check.cpp
+++ b/packages/entry/src/http/answer_check.cpp
@@ -79,6 +79,7 @@
     if (end.answer)
     {
         report.status = end.answer->status;
+        report.body_bytes = end.answer->body.size();
         report.load = dialect.load(end.answer->headers);
         report.limit = dialect.limit ? dialect.limit(*end.answer) : std::nullopt;
         report.leaving = says_leaving(*end.answer);
--- a/packages/entry/src/http/request_handler.cpp
+++ b/packages/entry/src/http/request_handler.cpp
@@ -182,6 +182,7 @@
     admission.instance = options_.instance;
     admission.failure_domain = options_.failure_domain;
     admission.fingerprint = request_fingerprint(service.name, request);
+    admission.body_bytes = request.body->size();
     admission.priority = route->priority;
     const auto& methods = service.idempotent_methods;
     admission.idempotent = route->idempotent.value_or(
