--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -147,6 +147,8 @@
     std::erase_if(
         slowdown_windows_,
         [this](const auto& each) { return !table_->services.contains(each.first); });
+    std::erase_if(
+        overflows_, [this](const auto& each) { return !table_->services.contains(each.first); });
 }
 
 const service_config* probing_gateway::service(const std::string& name) const
@@ -279,6 +281,7 @@
     request_id id, std::uint32_t round, const target_key& key, probe_report report)
 {
     update_target_state(key, report);
+    record_probe_outcome(key, report);
     const auto found = pending_admissions_.find(id);
     if (found == pending_admissions_.end() || found->second.round < round)
     {
@@ -423,6 +426,7 @@
             .on_lost = nullptr};
         state(key).in_flight.insert(now);
         state(key).health.sent(now);
+        record_grant(admission, *target);
         barriers_.note_grant(admission.request.service, *target, now);
         if (options_.limiter != nullptr)
         {
@@ -521,6 +525,7 @@
         known->second.resets_since_answer = 0;
         shortage_.record_work(
             completed.target.first, completed.priority, report.service_time, completed.nearly_full);
+        record_response(report);
         if (crashes_.answered(completed.fingerprint) && options_.cleared)
         {
             options_.cleared(completed.fingerprint);
--- a/packages/core/src/admission/probing_gateway_targets.cpp
+++ b/packages/core/src/admission/probing_gateway_targets.cpp
@@ -83,9 +83,13 @@
     return found;
 }
 
-std::vector<const target_row*> probing_gateway::choose_probe_targets(
-    const pending_admission& admission, const usable_targets& usable)
+std::vector<const target_row*>
+probing_gateway::choose_probe_targets(pending_admission& admission, const usable_targets& usable)
 {
+    if (auto remote = choose_remote_targets(admission, usable); !remote.empty())
+    {
+        return remote;
+    }
     std::vector<subset_candidate> members;
     members.reserve(usable.rows.size());
     for (std::size_t index = 0; index < usable.rows.size(); ++index)
--- a/packages/entry/src/http/request_handler.cpp
+++ b/packages/entry/src/http/request_handler.cpp
@@ -202,6 +202,7 @@
     admission.instance = options_.instance;
     admission.failure_domain = options_.failure_domain;
     admission.fingerprint = request_fingerprint(service.name, request);
+    admission.body_bytes = request.body->size();
     admission.priority = route->priority;
     if (access.organisation != nullptr)
     {
