Shortage: kinds that are served as often as a more urgent one are not starved; docs

A kind below a fraction of the service's average left nothing to others, which served kinds with a long objective more often than more urgent ones when the latter were below the average themselves. The reference is now the lowest of the average and the more urgent kinds, and the reserve decreases gradually from half of it to 0.3.

--- a/packages/core/include/catkintally/core/admission/service_shortage.hpp
+++ b/packages/core/include/catkintally/core/admission/service_shortage.hpp
@@ -69,8 +69,9 @@
     [[nodiscard]] std::uint32_t
     reserve(std::uint32_t priority, std::uint32_t rank, std::uint32_t slots, time_point now) const;
 
-    /// True if this granted fraction is much lower than that of the service.
-    [[nodiscard]] bool is_starving(std::optional<double> served_fraction, time_point now) const;
+    /// Part of what requests leave to others that they still leave if this is the granted fraction
+    /// of their priority or organisation: less than 1 if it is much lower than the service's.
+    [[nodiscard]] double part_kept(std::optional<double> served_fraction, time_point now) const;
 
     /// The reserves are those at a target with so many slots.
     [[nodiscard]] shortage_dump
@@ -95,6 +96,7 @@
 
     /// Fraction of the recent passes that found no slot; zero if there were too few.
     [[nodiscard]] double level(time_point now) const;
+    [[nodiscard]] static double part_kept(double served_fraction, double reference);
     /// True if nearly all recent requests are at least as urgent as `priority`.
     [[nodiscard]] bool is_least_urgent(std::uint32_t priority, time_point now) const;
     request_class& class_of(std::uint32_t priority, time_point now);
--- a/packages/core/src/admission/service_shortage.cpp
+++ b/packages/core/src/admission/service_shortage.cpp
@@ -40,9 +40,10 @@
 /// is not kept short by its own reserve.
 constexpr double max_reserved_fraction = 0.5;
 
-/// A priority or organisation whose granted fraction falls below this part of the service's leaves
-/// no slots to others. A quarter counts as starved.
-constexpr double starving_fraction = 0.35;
+/// A priority or organisation whose granted fraction falls below the first part of the service's
+/// leaves fewer slots to others, and below the second none. A quarter counts as starved.
+constexpr double poor_fraction = 0.5;
+constexpr double starving_fraction = 0.3;
 
 /// The refused fraction of a priority is kept above this multiple of that of more urgent ones.
 /// Requests with a long objective look for a slot for a long time and would otherwise be served
@@ -183,11 +184,20 @@
     return less_urgent <= negligible_fraction * decided_.at(now);
 }
 
-bool service_shortage::is_starving(std::optional<double> served_fraction, time_point now) const
+double service_shortage::part_kept(std::optional<double> served_fraction, time_point now) const
 {
     const double decided = decided_.at(now);
-    return served_fraction && decided >= min_decisions &&
-           *served_fraction < starving_fraction * granted_.at(now) / decided;
+    return decided < min_decisions
+               ? 1
+               : part_kept(served_fraction.value_or(1), granted_.at(now) / decided);
+}
+
+double service_shortage::part_kept(double served_fraction, double reference)
+{
+    return std::clamp(
+        (served_fraction - starving_fraction * reference) /
+            std::max((poor_fraction - starving_fraction) * reference, 1e-9),
+        0.0, 1.0);
 }
 
 std::uint32_t service_shortage::reserve(
@@ -208,17 +218,21 @@
     if (own != classes_.end())
     {
         const auto served = own->second.served_fraction(now);
-        if (is_starving(served, now))
-        {
-            return 0;
-        }
+        // A priority that is served as often as a more urgent one is not starved, however little
+        // that is.
+        double reference =
+            decided_.at(now) < min_decisions ? 0 : granted_.at(now) / decided_.at(now);
         double lead = 0;
         for (auto each = classes_.begin(); served && each != own; ++each)
         {
-            const double refused_above = 1 - each->second.served_fraction(now).value_or(1);
-            lead = std::max(lead, refused_margin * refused_above - (1 - *served));
+            const double served_above = each->second.served_fraction(now).value_or(1);
+            reference = std::min(reference, served_above);
+            lead = std::max(lead, refused_margin * (1 - served_above) - (1 - *served));
         }
         reserve += static_cast<std::uint32_t>(std::ceil(lead / lead_per_slot));
+        reserve = std::min(reserve, slots);
+        const double kept = part_kept(served.value_or(1), reference);
+        return static_cast<std::uint32_t>(std::floor(reserve * kept));
     }
     return std::min(reserve, slots);
 }
--- a/packages/core/src/admission/shortage_policy.cpp
+++ b/packages/core/src/admission/shortage_policy.cpp
@@ -68,11 +68,12 @@
 bool shortage_policy::yields(
     const service_shortage& shortage, const std::string& organisation, time_point now)
 {
-    const double excess = organisations_.excess(organisation, now);
-    if (excess <= 0 || shortage.is_starving(organisations_.served_fraction(organisation, now), now))
+    double excess = organisations_.excess(organisation, now);
+    if (excess <= 0)
     {
         return false;
     }
+    excess *= shortage.part_kept(organisations_.served_fraction(organisation, now), now);
     // Only the requests in excess yield, so that the organisation keeps its share.
     return static_cast<double>(random_.next() >> 11U) * 0x1.0p-53 < excess;
 }
--- a/packages/core/tests/admission/shortage_model_test.cpp
+++ b/packages/core/tests/admission/shortage_model_test.cpp
@@ -123,9 +123,7 @@
     if (lists)
     {
         CHECK(after.at("pay").served_fraction() >= after.at("list").served_fraction());
-        // The two differ by chance by so much: there are a few hundred lists.
-        constexpr double noise = 0.03;
-        CHECK(after.at("read").served_fraction() >= after.at("list").served_fraction() - noise);
+        CHECK(after.at("read").served_fraction() >= after.at("list").served_fraction());
     }
 }
 
