--- a/packages/stand_ins/src/target/target_server.cpp
+++ b/packages/stand_ins/src/target/target_server.cpp
@@ -206,7 +206,8 @@
             const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
             bufferevent* stream =
                 evhttp_connection_get_bufferevent(evhttp_request_get_connection(ended.request));
-            connect(bufferevent_getfd(stream), &unspecified, sizeof unspecified);
+            // Fails only if the caller has closed the connection before.
+            (void)connect(bufferevent_getfd(stream), &unspecified, sizeof unspecified);
         }
         // Frees the request as well. The caller is a timer or the watch for closed connections,
         // never a callback of evhttp.
