--- a/packages/core/include/catkintally/core/admission/domain_overflow.hpp
+++ b/packages/core/include/catkintally/core/admission/domain_overflow.hpp
@@ -128,6 +128,8 @@
         double leave = 0;
         /// Probability that a round of probes elsewhere finds a usable slot.
         double found_elsewhere = 0;
+        /// At least one of the other domains has been probed lately.
+        bool known_elsewhere = false;
     };
 
     /// Another domain with the targets that may be probed there.
--- a/packages/core/src/admission/domain_overflow.cpp
+++ b/packages/core/src/admission/domain_overflow.cpp
@@ -32,9 +32,10 @@
 /// Assumption about another domain that has not been probed lately; worth a round of probes.
 constexpr probe_prior unknown_prior{.usable = 0.6, .weight = 1};
 
-/// Assumption about another domain beside its probes. Low, because one usable slot among a few
-/// probes also occurs in a domain that is short.
-constexpr probe_prior known_prior{.usable = 0.2, .weight = 1};
+/// Most that is assumed about another domain beside its probes. It is not assumed to be better than
+/// home either: where all domains are short, a few probes without a usable slot would still leave
+/// hope, and a tenth of the requests went elsewhere for nothing.
+constexpr probe_prior known_prior{.usable = 0.2, .weight = 2};
 
 /// Rounds before a request pauses, and the length of the pause, as in probing_gateway.
 constexpr double rounds_per_cycle = 3;
@@ -56,8 +57,8 @@
 
 /// The fraction rises above this relative advantage of leaving, (stay - leave) / (stay + leave),
 /// and falls below the lower one; it is held in between.
-constexpr double rise_above = 0.2;
-constexpr double fall_below = 0.1;
+constexpr double rise_above = 0.35;
+constexpr double fall_below = 0.2;
 
 /// Fastest changes of the fraction per second. A change shows in probes after the time that work
 /// takes, about a second; faster changes overshoot.
@@ -67,6 +68,10 @@
 /// Some first rounds always stay at home, so that its recovery is noticed.
 constexpr double max_fraction = 0.8;
 
+/// Largest fraction before the other domains are known: enough to get to know them. With more, a
+/// tenth of the requests changed domains where all were equally busy.
+constexpr double max_exploring_fraction = 0.04;
+
 /// First rounds go elsewhere only while a round there succeeds with this probability.
 constexpr double min_found_elsewhere = 0.5;
 
@@ -143,7 +148,12 @@
 
 probe_prior domain_overflow::remote_prior(const probe_statistics& domain, time_point now) const
 {
-    return domain.count(now) < known_count ? unknown_prior : known_prior;
+    if (domain.count(now) < known_count)
+    {
+        return unknown_prior;
+    }
+    const double home = home_.usable(home_prior, now);
+    return {.usable = std::min(home, known_prior.usable), .weight = known_prior.weight};
 }
 
 domain_overflow::remote_domains
@@ -238,12 +248,23 @@
 domain_overflow::costs domain_overflow::compare(
     const overflow_question& question, const remote_domains& domains, time_point now) const
 {
+    costs expected;
     const prospect home = home_prospect(now);
-    const prospect remote = remote_prospect(domains, now);
+    prospect remote = remote_prospect(domains, now);
+    const auto is_known = [&](const auto& each)
+    {
+        const auto known = others_.find(each.first);
+        return known != others_.end() && known->second.count(now) >= known_count;
+    };
+    expected.known_elsewhere = std::any_of(domains.begin(), domains.end(), is_known);
+    if (question.round > 0 && !std::all_of(domains.begin(), domains.end(), is_known))
+    {
+        // That unknown targets may be faster is tried by few first rounds only.
+        remote.fast = std::min(remote.fast, remote.usable * home.fast / home.usable);
+    }
     const double kilobytes = question.kilobytes + response_kilobytes_;
     // The path of the probe is part of its round trip; the request takes it once more.
     const double path_ms = remote.round_trip_ms - home.round_trip_ms;
-    costs expected;
     expected.stay = cost_ms(home, question);
     expected.leave =
         cost_ms(remote, question) + path_ms + kilobytes * options_.settings.kilobyte_cost_ms;
@@ -260,7 +281,11 @@
     const double advantage =
         (expected.try_home - expected.leave) / (expected.try_home + expected.leave);
     double change = 0;
-    if (advantage > rise_above && expected.found_elsewhere >= min_found_elsewhere)
+    if (expected.found_elsewhere < min_found_elsewhere)
+    {
+        change = -max_fall_per_s * passed.count();
+    }
+    else if (advantage > rise_above)
     {
         // Longer pauses between requests are no evidence of a shortage that lasts.
         change = (advantage - rise_above) / (1 - rise_above) * max_rise_per_s *
@@ -270,7 +295,10 @@
     {
         change = -std::min(fall_below - advantage, 0.5) * 2 * max_fall_per_s * passed.count();
     }
-    fraction_ = std::clamp(fraction_ + change, 0.0, max_fraction);
+    // Growth ends at the limit; a fraction that is beyond it may only shrink.
+    const double limit =
+        std::max(expected.known_elsewhere ? max_fraction : max_exploring_fraction, fraction_);
+    fraction_ = std::clamp(fraction_ + change, 0.0, limit);
 }
 
 bool domain_overflow::leaves(
--- a/packages/core/src/admission/probe_statistics.cpp
+++ b/packages/core/src/admission/probe_statistics.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/core/admission/probe_statistics.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace catkintally::core
@@ -15,6 +16,10 @@
 /// Relative time of slow slots before any was seen: a nearly full target.
 constexpr double default_slow_time = 1.5;
 
+/// Where probes are frequent, about this many are remembered, so that a change shows before the
+/// memory has passed.
+constexpr double max_count = 40;
+
 /// Below this decayed number of probes a mean says nothing.
 constexpr double min_count = 1e-6;
 
@@ -28,7 +33,7 @@
 
 void probe_statistics::add(const probe_outcome& outcome, time_point now)
 {
-    const double kept = decay(now);
+    const double kept = std::min(decay(now), max_count / std::max(count_, 1.0));
     for (double* sum : {&count_, &usable_, &fast_, &slow_time_sum_, &round_trip_sum_ms_})
     {
         *sum *= kept;
