Overflow: probe short domains again sooner; tests of cold targets and of two short domains

After one probe without a usable slot, another domain counted as known, and an instance stayed at home for seconds.

--- a/packages/core/src/admission/domain_overflow.cpp
+++ b/packages/core/src/admission/domain_overflow.cpp
@@ -18,12 +18,12 @@
 /// even of an instance with one request per second.
 constexpr duration home_memory = seconds(2);
 
-/// Memory of probes elsewhere, which are rarer. Together with known_count it determines how often
-/// an instance probes a domain that was short: about every three seconds.
+/// Memory of probes elsewhere, which are rarer.
 constexpr duration remote_memory = seconds(4);
 
-/// With fewer decayed probes nothing is known of another domain.
-constexpr double known_count = 0.5;
+/// With fewer decayed probes nothing is known of another domain. At 0.5 an instance whose first
+/// probes happened to find nothing stayed at home for seconds, beside domains with some room.
+constexpr double known_count = 1.5;
 
 /// Without evidence, home is assumed to be in its usual state: 30 % of the targets are slow at any
 /// time. Two probes' worth, so that one round without a usable slot is not yet a shortage.
--- a/packages/core/tests/admission/overflow_fleet_test.cpp
+++ b/packages/core/tests/admission/overflow_fleet_test.cpp
@@ -67,6 +67,18 @@
     CHECK(fleet.total(0).elsewhere_part() < 0.1);
 }
 
+// Guards against two short domains that give up the others after a few probes without a free slot.
+TEST_CASE("two domains that are short share the room of the others", "[overflow]")
+{
+    const std::size_t instances = GENERATE(120, 471);
+    INFO(instances);
+    overflow_fleet fleet(
+        options(instances, {1.5 * capacity, 1.5 * capacity, 0.4 * capacity, calm[0]}, true));
+    fleet.run(8s);
+    CHECK(fleet.total().refused_part() < 0.01);
+    CHECK(fleet.total().on_time_part() > 0.9);
+}
+
 // Guards against requests, and probes, that change places between domains that are all short.
 TEST_CASE("nobody leaves for nothing", "[overflow]")
 {
--- a/packages/core/tests/admission/probing_gateway_overflow_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_overflow_test.cpp
@@ -81,3 +81,37 @@
         CHECK(unchanged == each.unchanged);
     }
 }
+
+// Guards against requests that wait at home beside free slots elsewhere, and against ones that
+// leave for targets that take no more of them.
+TEST_CASE("requests that leave go to warm targets that take work")
+{
+    probing_fixture fixture(48, {.overflow = {.enabled = true}});
+    fixture.objective = 800ms;
+    auto& rows = fixture.table.services["desk"].targets;
+    for (std::size_t number = 0; number < rows.size(); ++number)
+    {
+        target_row& each = rows[number];
+        each.slots = 6;
+        each.incarnation = 1;
+        // Of the targets elsewhere, a third each is cold and draining.
+        each.warmup_remaining = number % 6 == 1 ? 10s : 0s;
+        probe_report& report = fixture.report(each.name);
+        report.load = load_report{.running = each.failure_domain == "here" ? 6U : 0U, .slots = 6};
+        report.warmup_remaining = each.warmup_remaining;
+        each.state = number % 6 == 3 ? target_admin_state::draining : target_admin_state::in;
+    }
+    fixture.apply();
+    for (request_id id = 1; id <= 20; ++id)
+    {
+        const admission_answer answer = fixture.decide(id);
+        CHECK(answer.code == decision_code::granted);
+        CHECK(std::stoul(answer.target.substr(1)) % 6 == 5);
+        fixture.complete(id, completion_outcome::answered);
+    }
+    for (const std::string& each : fixture.probed_names)
+    {
+        CHECK(std::stoul(each.substr(1)) % 6 != 1);
+    }
+    CHECK(fixture.probing->overflows().at(0).requests == 20);
+}
