Settings: section overflow, and decimal numbers

A cost per kilobyte is a fraction of a millisecond, which whole numbers can't express; the schema gets the type decimal. The choice auto gets an underscore in C++, where it is a keyword. Values out of range and other text are refused as with whole numbers.

--- a/packages/runtime/include/catkintally/runtime/settings/setting_descriptor.hpp
+++ b/packages/runtime/include/catkintally/runtime/settings/setting_descriptor.hpp
@@ -24,12 +24,14 @@
     /// Addresses separated by commas.
     address_list,
     integer,
+    /// Decimal number without a sign or an exponent.
+    decimal,
     /// One of a list of names.
     choice
 };
 
 /// Value of a setting between its text and its struct member. Choices are names.
-using setting_value = std::variant<std::string, std::uint64_t, std::vector<std::string>>;
+using setting_value = std::variant<std::string, std::uint64_t, double, std::vector<std::string>>;
 
 /// One row of the generated descriptor table.
 struct setting_descriptor
--- a/packages/runtime/src/settings/settings_loader.cpp
+++ b/packages/runtime/src/settings/settings_loader.cpp
@@ -11,6 +11,7 @@
 #include <charconv>
 #include <fstream>
 #include <optional>
+#include <sstream>
 
 #include <sys/socket.h>
 
@@ -60,6 +61,7 @@
     case setting_type::address_list:
         return "IP addresses with ports, separated by commas";
     case setting_type::integer:
+    case setting_type::decimal:
         return "a number of " + std::string(row.unit) + " from " + std::to_string(row.min) +
                " to " + std::to_string(row.max);
     case setting_type::choice:
@@ -78,12 +80,16 @@
     return "text";
 }
 
-std::optional<setting_value> parse_integer(const setting_descriptor& row, const std::string& text)
+template <typename Number, typename... Format>
+std::optional<setting_value>
+parse_number(const setting_descriptor& row, const std::string& text, Format... format)
 {
-    std::uint64_t number = 0;
+    Number number{};
     const auto* last = text.data() + text.size();
-    const auto [end, error] = std::from_chars(text.data(), last, number);
-    if (error != std::errc() || end != last || number < row.min || number > row.max)
+    const auto [end, error] = std::from_chars(text.data(), last, number, format...);
+    const bool in_range =
+        number >= static_cast<Number>(row.min) && number <= static_cast<Number>(row.max);
+    if (error != std::errc() || end != last || !in_range)
     {
         return std::nullopt;
     }
@@ -96,7 +102,9 @@
     switch (row.type)
     {
     case setting_type::integer:
-        return parse_integer(row, text);
+        return parse_number<std::uint64_t>(row, text);
+    case setting_type::decimal:
+        return parse_number<double>(row, text, std::chars_format::fixed);
     case setting_type::address:
         return is_address(text) ? std::optional<setting_value>(text) : std::nullopt;
     case setting_type::address_list:
@@ -169,6 +177,12 @@
     {
         return std::to_string(*number);
     }
+    if (const auto* number = std::get_if<double>(&value))
+    {
+        std::ostringstream out;
+        out << *number;
+        return out.str();
+    }
     if (const auto* text = std::get_if<std::string>(&value))
     {
         return row.type == setting_type::secret && !text->empty() ? "********" : *text;
--- a/packages/runtime/tests/settings/settings_loader_test.cpp
+++ b/packages/runtime/tests/settings/settings_loader_test.cpp
@@ -112,19 +112,25 @@
 {
     std::istringstream in(
         minimal + "[admission]\nmode = two_choices\n[peers]\nshared_key = k\n[targets]\n"
-                  "connections = 7\n");
+                  "connections = 7\n[overflow]\nmode = auto\nkilobyte_cost_ms = 0.25\n");
     const settings values = read_settings(in, "x.ini").value();
     CHECK(values.instance.id == "a1");
     CHECK(values.platform.addresses == std::vector<std::string>{"127.0.0.1:1", "127.0.0.1:2"});
     CHECK(values.admission.mode == admission_mode::two_choices);
     CHECK(values.targets.connections == 7);
+    CHECK(values.overflow.mode == overflow_mode::auto_);
+    CHECK(values.overflow.kilobyte_cost_ms == 0.25);
+    CHECK(values.overflow.hop_cost_ms == 2);
     CHECK(values.platform.call_time_ms == 1000);
 
     std::ostringstream printed;
     print_settings(printed, values);
     CHECK(printed.str().find("shared_key = ********\n") != std::string::npos);
     std::istringstream again(printed.str());
-    CHECK(read_settings(again, "y.ini").value().admission.mode == admission_mode::two_choices);
+    const settings read_again = read_settings(again, "y.ini").value();
+    CHECK(read_again.admission.mode == admission_mode::two_choices);
+    CHECK(read_again.overflow.mode == overflow_mode::auto_);
+    CHECK(read_again.overflow.kilobyte_cost_ms == 0.25);
 }
 
 // Guards against a missing file that is taken for an empty one.
--- a/tools/generate_settings.py
+++ b/tools/generate_settings.py
@@ -15,6 +15,7 @@
     "address": "std::string",
     "address_list": "std::vector<std::string>",
     "integer": "std::uint64_t",
+    "decimal": "double",
 }
 
 
@@ -26,6 +27,11 @@
     return f"{section['name']}_{key['name']}"
 
 
+def enumerator(choice):
+    """Name of a choice in C++; `auto` is a keyword."""
+    return choice + "_" if choice == "auto" else choice
+
+
 def member_type(section, key):
     return choice_type(section, key) if key["type"] == "choice" else CPP_TYPES[key["type"]]
 
@@ -33,8 +39,8 @@
 def initializer(section, key):
     default = key.get("default", "")
     if key["type"] == "choice":
-        return f" = {choice_type(section, key)}::{default}"
-    if key["type"] == "integer":
+        return f" = {choice_type(section, key)}::{enumerator(default)}"
+    if key["type"] in ("integer", "decimal"):
         return f" = {default}"
     if key["type"] == "address_list":
         items = [item.strip() for item in default.split(",") if item.strip()]
@@ -46,7 +52,7 @@
     for section in schema["sections"]:
         for key in section["keys"]:
             place = f"{section['name']}.{key['name']}"
-            if key["type"] == "integer" and not key["min"] <= key.get("default", key["min"]) <= key["max"]:
+            if key["type"] in ("integer", "decimal") and not key["min"] <= key.get("default", key["min"]) <= key["max"]:
                 sys.exit(f"{place}: default is out of range")
             if key["type"] == "choice" and key["default"] not in key["choices"]:
                 sys.exit(f"{place}: default is not a choice")
@@ -61,7 +67,7 @@
         for key in section["keys"]:
             if key["type"] == "choice":
                 out.append(f"\n/// {key['help']}\nenum class {choice_type(section, key)} : std::uint8_t\n{{\n")
-                out.append(",\n".join(f"    {choice}" for choice in key["choices"]) + "\n};\n")
+                out.append(",\n".join(f"    {enumerator(choice)}" for choice in key["choices"]) + "\n};\n")
     for section in schema["sections"]:
         out.append(f"\n/// [{section['name']}] {section['help']}\nstruct {section['name']}_settings\n{{\n")
         for key in section["keys"]:
@@ -77,7 +83,7 @@
 
 def descriptor(section, key):
     member = f"{section['name']}.{key['name']}"
-    kind = {"integer": "std::uint64_t", "address_list": "std::vector<std::string>"}.get(key["type"], "std::string")
+    kind = CPP_TYPES.get(key["type"], "std::string")
     if key["type"] == "choice":
         names = choice_type(section, key) + "_names"
         assign = (f"target.{member} = static_cast<{choice_type(section, key)}>("
