Overflow: settings, metrics, dump section and log events

Turned on in the settings of the users' platform; without the section it stays off. Each service with targets of four slots or more has gauges of the probes and requests that its overflow sent to other domains and of the current fraction. The dump section overflow shows what probes find in each domain. Events 4020 and 4021 tell the start and the end.

--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -1,5 +1,6 @@
 #include <catkintally/entry/process/barrier_dump.hpp>
 #include <catkintally/entry/process/limit_dump.hpp>
+#include <catkintally/entry/process/overflow_report.hpp>
 #include <catkintally/entry/process/probing_log.hpp>
 #include <catkintally/entry/process/probing_process.hpp>
 #include <catkintally/entry/process/process_parts.hpp>
@@ -217,6 +218,9 @@
         }
     };
     options.on_decided = log_decision;
+    options.overflow = overflow_settings_of(settings_);
+    options.overflow_changed = [this](const std::string& service, bool active)
+    { log_overflow_change(gateway_, service, active); };
     options.on_lost =
         [](const std::string& trace_id, const std::string& target, core::loss_cause cause)
     {
@@ -286,6 +290,10 @@
     has_table_ = true;
     gateway_.apply(table);
     instance_.apply_table(table);
+    if (settings_.overflow.mode == runtime::overflow_mode::auto_)
+    {
+        add_overflow_metrics(instance_.metrics(), gateway_, *table);
+    }
 }
 
 boost::json::value probing_process::store_dump() const
@@ -346,6 +354,7 @@
     metrics.gauge(
         "catkintally_target_limit_demand_reports", {},
         [this] { return static_cast<double>(limiter_.known_reports()); });
+    instance_.admin().add_section("overflow", [this] { return to_json(gateway_.overflows()); });
     instance_.admin().add_section("target_limits", [this] { return to_json(limiter_.dump()); });
     metrics.gauge(
         "catkintally_targets_barred", {},
