--- a/packages/core/tests/admission/overflow_fleet.cpp
+++ b/packages/core/tests/admission/overflow_fleet.cpp
@@ -337,7 +337,7 @@
         self.cold_arrivals.push_back(timers.now());
     }
     const time_point since = timers.now();
-    auto begin = [this, target, since, ended = std::move(ended)]
+    auto begin = [this, target, since, ended]
     { start(target, [this, since, ended](duration) { ended(timers.now() - since); }); };
     if (self.running < slots)
     {
