--- a/packages/core/tests/admission/overflow_fleet.hpp
+++ b/packages/core/tests/admission/overflow_fleet.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "overflow_totals.hpp"
+
 #include <catkintally/core/admission/probing_gateway.hpp>
 #include <catkintally/core/time/manual_timer_service.hpp>
 
@@ -26,28 +28,6 @@
     std::uint64_t seed = 1;
 };
 
-/// What happened to the callers of one domain, and what their instances sent elsewhere.
-struct overflow_totals
-{
-    /// Requests that were answered or refused twice.
-    std::size_t ended = 0;
-    std::size_t refused = 0;
-    /// Responses within the objective.
-    std::size_t on_time = 0;
-    double response_ms_sum = 0;
-    std::size_t probes = 0;
-    std::size_t probes_elsewhere = 0;
-    std::size_t granted = 0;
-    std::size_t granted_elsewhere = 0;
-    double kilobytes_elsewhere = 0;
-
-    [[nodiscard]] double mean_ms() const;
-    [[nodiscard]] double on_time_part() const;
-    [[nodiscard]] double refused_part() const;
-    [[nodiscard]] double elsewhere_part() const;
-    overflow_totals& operator+=(const overflow_totals& other);
-};
-
 /// Instances with the real admission code in four failure domains, one service, and targets of six
 /// slots with a queue of twelve, in virtual time. A target is 1.7 times slower with more than 0.8
 /// of its slots in use, and 5 times slower for 30 % of the time, in spans of 150 ms. Callers come
@@ -130,7 +110,7 @@
     void send(const call& current);
     void on_decision(
         std::size_t instance, request_id id, const call& current, const admission_answer& answer);
-    void arrive(std::size_t target, std::function<void(duration)> ended);
+    void arrive(std::size_t target, const std::function<void(duration)>& ended);
     void start(std::size_t target, std::function<void(duration)> ended);
     [[nodiscard]] double slowdown(const simulated_target& target) const;
     [[nodiscard]] probe_report report_of(const simulated_target& target) const;
