--- a/packages/core/src/admission/domain_overflow.cpp
+++ b/packages/core/src/admission/domain_overflow.cpp
@@ -18,12 +18,12 @@
 /// even of an instance with one request per second.
 constexpr duration home_memory = seconds(2);
 
-/// Memory of probes elsewhere, which are rarer. Together with known_count it determines how often
-/// an instance probes a domain that was short: about every three seconds.
+/// Memory of probes elsewhere, which are rarer.
 constexpr duration remote_memory = seconds(4);
 
-/// With fewer decayed probes nothing is known of another domain.
-constexpr double known_count = 0.5;
+/// With fewer decayed probes nothing is known of another domain. At 0.5 an instance whose first
+/// probes happened to find nothing stayed at home for seconds, beside domains with some room.
+constexpr double known_count = 1.5;
 
 /// Without evidence, home is assumed to be in its usual state: 30 % of the targets are slow at any
 /// time. Two probes' worth, so that one round without a usable slot is not yet a shortage.
@@ -372,31 +372,4 @@
     return chosen;
 }
 
-domain_overflow_dump domain_overflow::dump(time_point now) const
-{
-    domain_overflow_dump out;
-    out.fraction = fraction_;
-    out.active = active_;
-    out.home_cost_ms = last_costs_.stay;
-    out.remote_cost_ms = last_costs_.leave;
-    out.probes = probes_;
-    out.requests = requests_;
-    const prospect home = home_prospect(now);
-    out.domains.push_back(
-        {.name = options_.home,
-         .usable = home.usable,
-         .fast = home.fast,
-         .probes = home_.count(now)});
-    for (const auto& [name, each] : others_)
-    {
-        const probe_prior prior = remote_prior(each, now);
-        out.domains.push_back(
-            {.name = name,
-             .usable = each.usable(prior, now),
-             .fast = each.fast(prior, now),
-             .probes = each.count(now)});
-    }
-    return out;
-}
-
 } // namespace catkintally::core
