Crashing requests: refused for as long as they keep arriving

crash_records keeps the requests that have crashed three targets in a row, apart from those that are only suspected, so that a flood of other requests does not evict them. Each arrival renews the record; an instance announces its own arrivals if it has heard of none for 20 s. After a quiet time of a minute, doubled with each further crash, the instance at which the request arrives claims one attempt, holds the request for 0.5 s and sends it unless it hears of a better claim or of a later arrival. Retries and second attempts are refused. Neighbours tell records to instances that start, before these have a table, and tell the sender of a record if the request has been answered since (new message crash_record). Crashes of suspected requests count for ten minutes, so that a caller that comes every few minutes is found, too; a target that starts again under its name counts again after a minute, as before.

The crash messages of gossip_node have moved to gossip_node_crashes.cpp.

Tests: crash_history_test no longer expects the request to be let through after a minute; the rows that replace it expect a refusal. With one line of the new rules taken out at a time (arrivals do not renew, claims are not compared, clearances are not answered, received arrivals do not count), 6, 2, 1 and 1 of 19 test cases fail.

--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -85,6 +85,9 @@
     std::function<void(const target_row&, std::function<void(bool)>)> try_connect{};
     /// Called for a crash that other instances may not know yet; may be empty.
     std::function<void(const target_crash&)> crashed{};
+    /// Called with a record of a request that crashes targets, for the other instances; may be
+    /// empty.
+    std::function<void(const crash_record&)> announce_crash_record{};
     /// Called when a request that was suspected of crashing targets was answered; may be empty.
     std::function<void(std::uint64_t fingerprint)> cleared{};
     /// Called for each decision; may be empty.
@@ -118,6 +121,18 @@
     /// Records a crash that another instance observed; false if it is known already.
     bool note_crash(const target_crash& crash);
 
+    /// Merges a record of a request that crashes targets, of another instance.
+    crash_record_news merge_crash_record(const crash_record& received)
+    {
+        return crashes_.refused().merge(received, options_.timers->now());
+    }
+
+    /// The requests that are refused because they crash targets.
+    [[nodiscard]] std::vector<crash_record> crash_records() const
+    {
+        return crashes_.refused().all(options_.timers->now());
+    }
+
     /// Crashes whose requests are suspected of causing them.
     [[nodiscard]] std::vector<target_crash> suspected_crashes() const
     {
@@ -125,7 +140,10 @@
     }
 
     /// Records that another instance got an answer to the request. False if it was not suspected.
-    bool note_answered(std::uint64_t fingerprint) { return crashes_.answered(fingerprint); }
+    bool note_answered(std::uint64_t fingerprint)
+    {
+        return crashes_.answered(fingerprint, options_.timers->now());
+    }
 
     /// Number of health checks sent since the start, including those of overdue requests.
     [[nodiscard]] std::uint64_t probes() const { return probes_; }
@@ -202,6 +220,10 @@
     };
 
     void ask(admission_request request, admission_callback answer);
+    /// Admits the request, or refuses it because it crashes targets, or lets it wait until this
+    /// instance may send it once.
+    void check_for_crashes(request_id id);
+    void refuse_crashing(request_id id);
     void start_probe_round(request_id id);
     [[nodiscard]] usable_targets candidates(const pending_admission& admission) const;
     [[nodiscard]] std::vector<const target_row*>
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -66,6 +66,7 @@
            .try_connect = [this](const target_key& key, std::function<void()> completed)
            { try_connect_target(key, [completed = std::move(completed)](bool) { completed(); }); },
            .on_lost = [this](request_id id, loss_cause cause) { handle_loss(id, cause); }})
+    , crashes_(claimant_number(options_.self, options_.seed))
     , random_(options_.seed)
 {
     assert(options_.timers != nullptr && options_.probe && options_.try_connect);
@@ -187,12 +188,7 @@
         finish(id, decision_code::refused_retry_budget, nullptr, random_retry_after());
         return;
     }
-    if (crashes_.refuses(admission.request.fingerprint, admission.submitted_at))
-    {
-        finish(id, decision_code::refused_crashing_request, nullptr, crash_history::retention_time);
-        return;
-    }
-    start_probe_round(id);
+    check_for_crashes(id);
 }
 
 void probing_gateway::start_probe_round(request_id id)
@@ -552,7 +548,7 @@
     {
     case completion_outcome::answered:
         known->second.health.succeeded();
-        if (crashes_.answered(completed.fingerprint) && options_.cleared)
+        if (note_answered(completed.fingerprint) && options_.cleared)
         {
             options_.cleared(completed.fingerprint);
         }
--- a/packages/core/src/fleet/fleet_node_messages.cpp
+++ b/packages/core/src/fleet/fleet_node_messages.cpp
@@ -116,6 +116,7 @@
     case wire::payload::census:
     case wire::payload::limit_notice:
     case wire::payload::demand_notice:
+    case wire::payload::crash_record:
     case wire::payload::peer_sample:
     case wire::payload::NONE:
         // Of links, and of instances that pass on news; not of this node.
--- a/packages/core/tests/admission/probing_fixture.hpp
+++ b/packages/core/tests/admission/probing_fixture.hpp
@@ -51,6 +51,8 @@
             }
         };
         options.crashed = [this](const target_crash& crash) { reported_crashes.push_back(crash); };
+        options.announce_crash_record = [this](const crash_record& record)
+        { announced_records.push_back(record); };
         options.on_decided = [this](const probing_decision& decision)
         { decisions.push_back(decision); };
         probing.emplace(options);
@@ -137,6 +139,8 @@
     std::set<std::string> crashed_targets;
     /// Crashes that the gateway reported for other instances.
     std::vector<target_crash> reported_crashes;
+    /// Records of refused requests that the gateway announced to other instances.
+    std::vector<crash_record> announced_records;
     std::uint64_t fingerprint = 0;
     std::vector<probing_decision> decisions;
     std::map<request_id, admission_answer> answers;
--- a/packages/entry/include/catkintally/entry/news/gossip_node.hpp
+++ b/packages/entry/include/catkintally/entry/news/gossip_node.hpp
@@ -49,8 +49,12 @@
     /// Another instance received an answer to a suspected request. Returns true if that was unknown
     /// here; it is then forwarded.
     std::function<bool(std::uint64_t fingerprint)> on_suspicion_cleared;
+    /// Another instance knows a request that crashes targets. May be empty, as the hooks below.
+    std::function<core::crash_record_news(const core::crash_record&)> on_crash_record{};
+    /// Requests that crash targets, to report to a newly linked instance.
+    std::function<std::vector<core::crash_record>()> crash_records{};
     /// Another instance read a target's rate limit. Returns true if it was unknown here; it is then
-    /// forwarded. May be empty, as the hooks below.
+    /// forwarded.
     std::function<bool(const core::target_limit&)> on_target_limit{};
     /// Rate limits to send to a newly linked instance.
     std::function<std::vector<core::target_limit>()> target_limits{};
@@ -85,6 +89,9 @@
     /// Reports to all neighbours that a suspected request was answered.
     void broadcast_suspicion_cleared(std::uint64_t fingerprint);
 
+    /// Reports a request that crashes targets to all neighbours.
+    void broadcast_crash_record(const core::crash_record& record);
+
     /// Reports a target's rate limit to all neighbours.
     void broadcast_limit(const core::target_limit& limit);
 
@@ -143,6 +150,8 @@
         const std::vector<std::unique_ptr<wire::news_state_data>>& known);
     void pull(const core::member_id& from, const std::string& prefix);
     void handle_crash_notice(const core::member& from, const wire::crash_notice_data& message);
+    void handle_crash_record(const core::member& from, const wire::crash_record_data& message);
+    void send_crashes(const core::member_id& peer);
     void handle_limit_notice(const core::member& from, const wire::limit_notice_data& message);
     void handle_demand_notice(const wire::demand_notice_data& message);
     void send_limits(const core::member_id& peer);
--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/news/gossip_node.hpp>
+#include <catkintally/entry/news/message_age.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
@@ -44,12 +45,6 @@
 /// instance's share of fleet-wide limits follows from it.
 constexpr core::fleet_size assumed_fleet_size = {.near = 250, .far = 2'250};
 
-std::uint32_t to_milliseconds(core::duration time)
-{
-    const auto whole = std::chrono::duration_cast<milliseconds>(time).count();
-    return static_cast<std::uint32_t>(std::max<milliseconds::rep>(whole, 0));
-}
-
 wire::payloadUnion to_message(const object_update& update)
 {
     wire::news_update_data data;
@@ -366,53 +361,6 @@
     network_.send_to_all(wire::make_message(std::move(status)), {});
 }
 
-wire::payloadUnion gossip_node::crash_notice_message(const core::target_crash& crash) const
-{
-    const auto now = options_.timers->now();
-    wire::crash_notice_data data;
-    data.fingerprint = crash.fingerprint;
-    data.target = crash.target;
-    data.sent_ago_ms = to_milliseconds(now - crash.sent_at);
-    data.crashed_ago_ms = to_milliseconds(now - crash.crashed_at);
-    return wire::make_message(std::move(data));
-}
-
-void gossip_node::broadcast_crash(const core::target_crash& crash)
-{
-    network_.send_to_all(crash_notice_message(crash), {});
-}
-
-void gossip_node::broadcast_suspicion_cleared(std::uint64_t fingerprint)
-{
-    wire::crash_notice_data data;
-    data.fingerprint = fingerprint;
-    data.cleared = true;
-    network_.send_to_all(wire::make_message(std::move(data)), {});
-}
-
-void gossip_node::handle_crash_notice(
-    const core::member& from, const wire::crash_notice_data& message)
-{
-    if (message.cleared)
-    {
-        if (options_.on_suspicion_cleared(message.fingerprint))
-        {
-            network_.send_to_all(wire::make_message(wire::crash_notice_data(message)), from.id);
-        }
-        return;
-    }
-    const auto now = options_.timers->now();
-    const core::target_crash crash{
-        .fingerprint = message.fingerprint,
-        .target = message.target,
-        .sent_at = now - milliseconds(message.sent_ago_ms),
-        .crashed_at = now - milliseconds(message.crashed_ago_ms)};
-    if (crash.fingerprint != 0 && options_.on_target_crash(crash))
-    {
-        network_.send_to_all(crash_notice_message(crash), from.id);
-    }
-}
-
 void gossip_node::broadcast_limit(const core::target_limit& limit)
 {
     network_.send_to_all(to_message(std::span(&limit, 1)), {});
@@ -503,8 +451,9 @@
 
 void gossip_node::on_linked(const core::member_id& peer)
 {
-    // First, so that an instance that starts knows the limits before it has a table.
+    // First, so that an instance that starts knows them before it has a table.
     send_limits(peer);
+    send_crashes(peer);
     network_.send(peer, known_state_message());
     network_.send(peer, size_estimate_message());
     // With the recent reader statuses a starting instance can consider its objects fresh without
@@ -520,10 +469,6 @@
             network_.send(peer, wire::make_message(std::move(forwarded)));
         }
     }
-    for (const core::target_crash& crash : options_.suspected_crashes())
-    {
-        network_.send(peer, crash_notice_message(crash));
-    }
 }
 
 void gossip_node::receive(const core::member& from, const wire::payloadUnion& message)
@@ -546,6 +491,9 @@
     case wire::payload::crash_notice:
         handle_crash_notice(from, *message.Ascrash_notice());
         break;
+    case wire::payload::crash_record:
+        handle_crash_record(from, *message.Ascrash_record());
+        break;
     case wire::payload::census:
         handle_size_estimate(from, *message.Ascensus());
         break;
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -137,6 +137,9 @@
         .suspected_crashes = [this] { return gateway_.suspected_crashes(); },
         .on_suspicion_cleared = [this](std::uint64_t fingerprint)
         { return gateway_.note_answered(fingerprint); },
+        .on_crash_record = [this](const core::crash_record& record)
+        { return gateway_.merge_crash_record(record); },
+        .crash_records = [this] { return gateway_.crash_records(); },
         .on_target_limit = [this](const core::target_limit& limit)
         { return limiter_.merge_limit(limit); },
         .target_limits = [this] { return limiter_.limits(); },
@@ -212,6 +215,13 @@
             news_->broadcast_crash(crash);
         }
     };
+    options.announce_crash_record = [this](const core::crash_record& record)
+    {
+        if (news_)
+        {
+            news_->broadcast_crash_record(record);
+        }
+    };
     options.cleared = [this](std::uint64_t fingerprint)
     {
         if (news_)
