--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -61,6 +61,7 @@
            { try_connect_target(key, [completed = std::move(completed)](bool) { completed(); }); },
            .on_lost = [this](request_id id, loss_cause cause) { handle_loss(id, cause); }})
     , hedges_(options_.hedging)
+    , crashes_(claimant_number(options_.self, options_.seed))
     , shortage_(
           {.min_slots = options_.shortage_min_slots,
            .seed = options_.seed,
@@ -192,17 +193,12 @@
         finish(id, decision_code::refused_retry_budget, nullptr, random_retry_after());
         return;
     }
-    if (crashes_.refuses(admission.request.fingerprint, admission.submitted_at))
-    {
-        finish(id, decision_code::refused_crashing_request, nullptr, crash_history::retention_time);
-        return;
-    }
-    if (admission.terms.refused)
+    if (admission.terms.refused && !crashes_.refused().contains(admission.request.fingerprint))
     {
         finish(id, decision_code::refused_deadline, nullptr, random_retry_after());
         return;
     }
-    start_probe_round(id);
+    check_for_crashes(id);
 }
 
 void probing_gateway::start_probe_round(request_id id)
@@ -526,7 +522,7 @@
         shortage_.record_work(
             completed.target.first, completed.priority, report.service_time, completed.nearly_full);
         record_response(report);
-        if (crashes_.answered(completed.fingerprint) && options_.cleared)
+        if (note_answered(completed.fingerprint) && options_.cleared)
         {
             options_.cleared(completed.fingerprint);
         }
