Admission: an attempt that this instance gives up unsent does not eject its target

Change: completion_report::untried marks these ends. Caller disconnects, deadlines and lapsed grants are reported as before.

--- a/packages/core/include/catkintally/core/admission/completion_report.hpp
+++ b/packages/core/include/catkintally/core/admission/completion_report.hpp
@@ -44,6 +44,9 @@
     bool leaving = false;
     /// The target has turned the request away and wants nothing from this instance for so long.
     std::optional<duration> pause{};
+    /// With `not_run`: this instance gave the attempt up for a reason of its own, so that the end
+    /// says nothing about the target.
+    bool untried = false;
 };
 
 } // namespace catkintally::core
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -539,7 +539,10 @@
         if (report.status == 0)
         {
             refund_token(completed.target);
-            report_failure(completed.target);
+            if (!report.untried)
+            {
+                report_failure(completed.target);
+            }
         }
         break;
     case completion_outcome::cancelled:
--- a/packages/core/tests/admission/probing_gateway_losses_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_losses_test.cpp
@@ -3,6 +3,19 @@
 using namespace catkintally::core;
 using namespace std::chrono_literals;
 
+// Guards against targets that are ejected because the key of a caller was withdrawn, or because
+// another target answered first, while a connection to them was being established.
+TEST_CASE("an attempt that was given up without contact says nothing about its target")
+{
+    const bool untried = GENERATE(false, true);
+    probing_fixture fixture;
+    REQUIRE(fixture.decide(1).code == decision_code::granted);
+    fixture.complete(
+        1, completion_outcome::not_run, 0,
+        [&](completion_report& report) { report.untried = untried; });
+    CHECK(fixture.probing->ejected_count() == (untried ? 0 : 1));
+}
+
 // Guards against a request that waits until its deadline at a target that lost power, and against
 // further requests that are sent to the same target.
 TEST_CASE("a request at a target that stops responding is reported as lost")
--- a/packages/entry/include/catkintally/entry/http/exchange.hpp
+++ b/packages/entry/include/catkintally/entry/http/exchange.hpp
@@ -109,6 +109,8 @@
         bool silent = false;
         /// With `silent`: the target works, but slowly, so that the request was hedged.
         bool slow = false;
+        /// Given up without a reason that lies with the target. See completion_report.
+        bool untried = false;
     };
 
     void request_admission(bool retry);
@@ -120,7 +122,7 @@
     void wait_for_targets();
     /// Removes an attempt that has ended or is to be given up.
     running_attempt take_attempt(core::request_id grant);
-    void abandon(const running_attempt& attempt, core::completion_outcome outcome_if_sent);
+    void abandon(running_attempt attempt, core::completion_outcome outcome_if_sent);
     void on_grant_lapsed();
     void on_dispatch_end(core::request_id grant, const dispatch_end& end);
     void on_target_lost(core::request_id grant, core::loss_cause cause);
--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -173,6 +173,7 @@
     }
     if (const auto barred = obstacle())
     {
+        next.untried = true;
         report_completion(next, core::completion_outcome::not_run, {});
         respond_without_retry(*barred);
         return;
@@ -259,9 +260,12 @@
     return taken;
 }
 
-void exchange::abandon(const running_attempt& attempt, core::completion_outcome outcome_if_sent)
+void exchange::abandon(running_attempt attempt, core::completion_outcome outcome_if_sent)
 {
     const bool sent = context_.pool->is_sent(attempt.dispatch);
+    // Another target has answered first. A caller that leaves may have waited for the connection.
+    attempt.untried =
+        !sent && outcome_if_sent == core::completion_outcome::cancelled && !caller_gone_;
     context_.pool->abandon(attempt.dispatch);
     may_have_run_ = may_have_run_ || sent;
     report_completion(
@@ -343,7 +347,7 @@
 
 void exchange::on_dispatch_end(core::request_id grant, const dispatch_end& end)
 {
-    const running_attempt ended = take_attempt(grant);
+    running_attempt ended = take_attempt(grant);
     summary_.target = ended.target;
     if (end.result != dispatch_result::send_refused)
     {
@@ -361,6 +365,7 @@
         return;
     case dispatch_result::send_refused:
         --summary_.attempts;
+        ended.untried = obstacle().has_value();
         report_completion(ended, core::completion_outcome::not_run, {});
         on_grant_lapsed();
         return;
@@ -540,6 +545,7 @@
     report.target = attempt.target;
     report.outcome = outcome;
     report.service_time = end.service_time;
+    report.untried = attempt.untried;
     add_statements(*context_.dialect, end, report);
     context_.gateway->complete(report, std::move(stored));
 }
--- a/packages/entry/tests/http/organisations_test.cpp
+++ b/packages/entry/tests/http/organisations_test.cpp
@@ -261,6 +261,8 @@
     {
         CHECK(fixture.completed[0].first.id == waiting);
         CHECK(fixture.completed[0].first.outcome == core::completion_outcome::not_run);
+        // A withdrawn key must not eject the target.
+        CHECK(fixture.completed[0].first.untried);
         CHECK(fixture.unchecked_requests.contains(waiting));
     }
 }
--- a/packages/entry/tests/http/target_loss_test.cpp
+++ b/packages/entry/tests/http/target_loss_test.cpp
@@ -3,10 +3,14 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 #include <utility>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace catkintally::entry;
 using catkintally::core::completion_outcome;
 using catkintally::core::loss_cause;
@@ -22,6 +26,47 @@
     return answer;
 }
 
+/// Listener whose queue is full, so that connections to it stay incomplete.
+class full_listener
+{
+public:
+    full_listener()
+        : listener_(bind_listener("127.0.0.1:0"))
+    {
+        ::listen(listener_, 0);
+        sockaddr_storage name{};
+        socklen_t length = sizeof name;
+        auto* address = reinterpret_cast<sockaddr*>(&name);
+        getsockname(listener_, address, &length);
+        for (int& each : queued_)
+        {
+            each = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            connect(each, address, length);
+        }
+    }
+
+    ~full_listener()
+    {
+        for (const int each : queued_)
+        {
+            close(each);
+        }
+        close(listener_);
+    }
+
+    full_listener(const full_listener&) = delete;
+    full_listener& operator=(const full_listener&) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(bound_port(listener_));
+    }
+
+private:
+    int listener_;
+    std::array<int, 2> queued_{};
+};
+
 } // namespace
 
 // Guards against an idempotent request that waits for a failed target until its deadline, and
@@ -187,6 +232,30 @@
     CHECK(other.requests == (read_at_once ? 1 : 0));
 }
 
+// Guards against a healthy target that counts as failed because a hedged request was answered
+// before the connection to it was established.
+TEST_CASE(
+    "an attempt that is not sent before another one is answered says nothing about its target")
+{
+    instance_fixture fixture;
+    scripted_target slow(fixture.loop, {.hold = true});
+    const full_listener other;
+    fixture.grant({slow.address(), other.address()});
+    raw_caller caller(fixture.loop, fixture.self->front().port());
+    caller.send(instance_fixture::request("GET"));
+    fixture.run_until([&] { return slow.requests == 1; });
+    fixture.loss_callbacks.begin()->second(loss_cause::slow);
+    REQUIRE(fixture.asked.size() == 2);
+    slow.release();
+    std::optional<std::string> response;
+    fixture.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == 200);
+    REQUIRE(fixture.completed.size() == 2);
+    CHECK(fixture.completed[1].first.target == "t2");
+    CHECK(fixture.completed[1].first.outcome == completion_outcome::not_run);
+    CHECK(fixture.completed[1].first.untried);
+}
+
 // Guards against targets that go on working after a request with two attempts has ended, and
 // against a second response to its caller.
 TEST_CASE("all attempts end together with their request")
