Hedging: a request that has not been sent keeps its attempt

Cause: a request that was due for hedging while the connection to its target was still being established lost that attempt, and the target counted as unreachable. If the retry budget admitted no other attempt, the caller got 503.

Change: the request is watched further; the time limit for connections decides.

--- a/packages/entry/src/http/exchange.cpp
+++ b/packages/entry/src/http/exchange.cpp
@@ -296,6 +296,13 @@
         watch(grant);
         return;
     }
+    if (!sent && cause == core::loss_cause::slow)
+    {
+        // The target has not had the request yet, so it is not slow, and giving this attempt up
+        // could leave the request with none.
+        watch(grant);
+        return;
+    }
     exclude(found->target);
     if (sent && cause != core::loss_cause::not_at_target)
     {
--- a/packages/entry/tests/http/target_loss_test.cpp
+++ b/packages/entry/tests/http/target_loss_test.cpp
@@ -232,6 +232,30 @@
     CHECK(other.requests == (read_at_once ? 1 : 0));
 }
 
+// Guards against a request that loses its only attempt, and is refused without a retry, because it
+// was due for hedging while the connection to its target was still being established.
+TEST_CASE("a request that has not been sent is not hedged")
+{
+    instance_fixture fixture;
+    scripted_target target(fixture.loop, {});
+    fixture.grant({target.address()});
+    raw_caller caller(fixture.loop, fixture.self->front().port());
+    caller.send(instance_fixture::request("GET"));
+    // A grant is answered inline, and the connection takes a further pass of the loop.
+    fixture.run_until([&] { return !fixture.asked.empty(); });
+    REQUIRE(target.requests == 0);
+    fixture.answers = {refused(catkintally::core::decision_code::refused_retry_budget)};
+    std::exchange(fixture.loss_callbacks, {}).begin()->second(loss_cause::slow);
+    CHECK(fixture.asked.size() == 1);
+    // It is watched again.
+    CHECK(fixture.loss_callbacks.size() == 1);
+    std::optional<std::string> response;
+    fixture.run_until([&] { return (response = caller.take_response()).has_value(); });
+    CHECK(status_of(*response) == 200);
+    REQUIRE(fixture.completed.size() == 1);
+    CHECK(fixture.completed[0].first.outcome == completion_outcome::answered);
+}
+
 // Guards against a healthy target that counts as failed because a hedged request was answered
 // before the connection to it was established.
 TEST_CASE(
