Overflow: the comparison with earlier decisions leaves out the shortage policy

The digests were taken without the shortage policy, which applies to targets with many slots by default and changed them for six slots. The test switches it off, so that it compares the overflow alone, as strictly as before.

--- a/packages/core/tests/admission/probing_gateway_overflow_test.cpp
+++ b/packages/core/tests/admission/probing_gateway_overflow_test.cpp
@@ -12,7 +12,8 @@
 /// Digest of the decisions for 400 requests at 48 targets whose load changes at random.
 std::uint64_t decisions_digest(std::uint32_t slots, overflow_settings overflow)
 {
-    probing_fixture fixture(48, {.overflow = overflow});
+    // Only the overflow is compared; the shortage policy applies to many slots by default.
+    probing_fixture fixture(48, {.shortage_min_slots = 1'000, .overflow = overflow});
     fixture.objective = 800ms;
     split_mix random(11);
     for (target_row& each : fixture.table.services["desk"].targets)
