Quotas: organisations' quotas are divided among the instances

Organisations are to get quotas that all instances keep together. The mechanism of target limits (demand reports, shares computed by all from the same reports, token buckets) now also divides quotas: divide_quota() beside divide_limit(), a report policy for own_demand and demand_exchange, and organisation_quota, which decides. Instances without a token borrow one from others over the links (token_lending). Target limits behave as before; their tests are unchanged.

--- a/packages/core/include/catkintally/core/limits/demand_directory.hpp
+++ b/packages/core/include/catkintally/core/limits/demand_directory.hpp
@@ -16,10 +16,15 @@
 class demand_directory
 {
 public:
+    explicit demand_directory(duration retention = retention_time)
+        : retention_(retention)
+    {
+    }
+
     /// Records a report. Returns true if it is newer than what was known; it is then passed on.
     bool merge(const demand_report& report, time_point now);
 
-    /// Removes reports that were not renewed for `retention_time`.
+    /// Removes reports that were not renewed for the retention time.
     void remove_expired(time_point now);
 
     /// Instances that use the service, except those that are leaving.
@@ -28,10 +33,10 @@
     /// All reports, with their age, to be sent to an instance that starts.
     [[nodiscard]] std::vector<demand_report> all(time_point now) const;
 
-    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+    /// Number of instances with a report that was renewed within `age`.
+    [[nodiscard]] std::size_t instances_newer_than(duration age, time_point now) const;
 
-    /// Instances renew their reports at this interval.
-    static constexpr duration renewal_interval = std::chrono::seconds(20);
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
     /// Long enough to ride out lost or late reports. The share of an instance that was killed is
     /// unused for this long.
@@ -49,6 +54,7 @@
         time_point reported_at{};
     };
 
+    duration retention_;
     std::map<key, entry> entries_;
     /// Lists returned by demands(), by service; removed when a report of the service changes.
     mutable std::map<std::uint64_t, std::vector<instance_demand>> lists_;
--- a/packages/core/include/catkintally/core/limits/limit_share.hpp
+++ b/packages/core/include/catkintally/core/limits/limit_share.hpp
@@ -54,4 +54,27 @@
     const std::vector<instance_demand>& others,
     std::size_t missing);
 
+/// The quota of an organisation, which is divided among the instances that have its callers.
+struct divided_quota
+{
+    /// Hash of the organisation's name.
+    std::uint64_t name = 0;
+    /// Requests per second from all instances together.
+    double per_second = 0;
+    /// Requests that all instances together may have saved up.
+    double saved = 0;
+};
+
+/// Share of `self` in a quota: in proportion to its demand. Only so many instances get one
+/// that each can have some requests saved up; they are chosen as in divide_limit(). The rates of
+/// all shares add up to that of the quota, and their bursts to `saved`.
+[[nodiscard]] limit_share divide_quota(
+    const divided_quota& quota,
+    const instance_demand& self,
+    const std::vector<instance_demand>& others);
+
+/// Instances that have a share in a quota according to these demands.
+[[nodiscard]] std::vector<std::uint64_t>
+quota_holders(const divided_quota& quota, const std::vector<instance_demand>& demands);
+
 } // namespace catkintally::core
--- a/packages/core/include/catkintally/core/limits/own_demand.hpp
+++ b/packages/core/include/catkintally/core/limits/own_demand.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkintally/core/limits/demand_meter.hpp>
+#include <catkintally/core/limits/report_policy.hpp>
 #include <catkintally/core/time/timer_service.hpp>
 
 #include <optional>
@@ -13,12 +14,28 @@
 class own_demand
 {
 public:
+    explicit own_demand(const report_policy& policy = {})
+        : policy_(policy)
+        , meter_(policy.averaging_time)
+    {
+    }
+
+    /// Continues from a report of an earlier run of this instance, which the others still count on.
+    /// Without effect if a report was sent already.
+    void resume(double per_second, time_point now);
+
+    /// Requests per second as measured.
+    [[nodiscard]] double measured(time_point now) { return meter_.per_second(now); }
+
     /// Records a request of a caller.
     void record(time_point now) { meter_.record(now); }
 
     /// True if a report must be sent: the first one, a renewal, or a changed demand.
     [[nodiscard]] bool is_report_due(time_point now);
 
+    /// True if a report was sent and its renewal is due within half of the interval.
+    [[nodiscard]] bool is_renewal_near(time_point now) const;
+
     /// Returns the demand to report now, in requests per second.
     double report(time_point now);
 
@@ -30,7 +47,11 @@
     [[nodiscard]] std::optional<double> settled(time_point now);
 
 private:
+    [[nodiscard]] bool differs(double demand, double reported) const;
+
+    report_policy policy_;
     demand_meter meter_;
+    bool resumed_ = false;
     /// Last reported demand.
     std::optional<double> reported_;
     time_point reported_at_{};
--- a/packages/core/include/catkintally/core/limits/token_bucket.hpp
+++ b/packages/core/include/catkintally/core/limits/token_bucket.hpp
@@ -46,6 +46,13 @@
         tokens_ = std::min(tokens_ + 1, size_);
     }
 
+    /// Adds tokens that another instance has given away, also beyond the size.
+    void deposit(double tokens, time_point now)
+    {
+        refill(now);
+        tokens_ += tokens;
+    }
+
     /// Time until the bucket holds `count` tokens, without regard to its size; duration::max() if
     /// it never does.
     [[nodiscard]] duration time_until(double count, time_point now)
--- a/packages/core/src/limits/demand_directory.cpp
+++ b/packages/core/src/limits/demand_directory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <functional>
-#include <limits>
+#include <set>
 
 namespace catkintally::core
 {
@@ -15,7 +15,7 @@
 bool demand_directory::merge(const demand_report& report, time_point now)
 {
     const time_point reported_at = now - report.age;
-    if (report.age >= retention_time)
+    if (report.age >= retention_)
     {
         return false;
     }
@@ -48,7 +48,7 @@
         entries_,
         [&](const auto& each)
         {
-            const bool expired = now - each.second.reported_at >= retention_time;
+            const bool expired = now - each.second.reported_at >= retention_;
             if (expired)
             {
                 lists_.erase(each.first.first);
@@ -80,6 +80,19 @@
     return list;
 }
 
+std::size_t demand_directory::instances_newer_than(duration age, time_point now) const
+{
+    std::set<std::uint64_t> instances;
+    for (const auto& [name, each] : entries_)
+    {
+        if (now - each.reported_at < age)
+        {
+            instances.insert(name.second);
+        }
+    }
+    return instances.size();
+}
+
 std::vector<demand_report> demand_directory::all(time_point now) const
 {
     std::vector<demand_report> reports;
--- a/packages/core/src/limits/demand_exchange.cpp
+++ b/packages/core/src/limits/demand_exchange.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// Interval at which reports are sent. Those that arrive in between go on together.
+/// Interval at which the own demand is checked.
 constexpr duration tick_interval = std::chrono::milliseconds(100);
 
 /// Interval at which expired reports are removed.
@@ -22,6 +22,7 @@
 
 demand_exchange::demand_exchange(demand_exchange_options options)
     : options_(std::move(options))
+    , directory_(options_.retention)
 {
     assert(options_.timers != nullptr);
 }
@@ -29,11 +30,33 @@
 demand_exchange::~demand_exchange()
 {
     options_.timers->cancel(tick_timer_);
+    options_.timers->cancel(batch_timer_);
+}
+
+own_demand& demand_exchange::demand_of(const std::string& service)
+{
+    const auto found = demands_.find(service);
+    if (found != demands_.end())
+    {
+        return found->second;
+    }
+    own_demand& added = demands_.emplace(service, own_demand(options_.policy)).first->second;
+    const auto former = former_.find(options_.hash(service));
+    if (former != former_.end())
+    {
+        added.resume(former->second.per_second, options_.timers->now());
+    }
+    return added;
 }
 
 void demand_exchange::record_request(const std::string& service)
 {
-    demands_[service].record(options_.timers->now());
+    demand_of(service).record(options_.timers->now());
+}
+
+double demand_exchange::measured(const std::string& service)
+{
+    return demand_of(service).measured(options_.timers->now());
 }
 
 void demand_exchange::start_reporting(const std::string& service)
@@ -45,7 +68,19 @@
 void demand_exchange::stop_reporting(const std::string& service)
 {
     reported_services_.erase(service);
-    demands_[service].stop_reporting();
+    demand_of(service).stop_reporting();
+}
+
+void demand_exchange::withdraw(const std::string& service)
+{
+    if (is_reporting(service))
+    {
+        add_report(make_report(service, leaving_demand));
+        start_ticking();
+    }
+    reported_services_.erase(service);
+    demands_.erase(service);
+    former_.erase(options_.hash(service));
 }
 
 demand_report demand_exchange::make_report(const std::string& service, double per_second)
@@ -53,18 +88,20 @@
     return {
         .instance = name_hash(options_.self),
         .incarnation = options_.incarnation,
-        .service = name_hash(service),
+        .service = options_.hash(service),
         .failure_domain = name_hash(options_.failure_domain),
         .sequence = ++sequence_,
         .per_second = per_second};
 }
 
-void demand_exchange::add_report(const demand_report& report)
+bool demand_exchange::add_report(const demand_report& report)
 {
-    if (directory_.merge(report, options_.timers->now()))
+    const bool added = directory_.merge(report, options_.timers->now());
+    if (added)
     {
         outgoing_.push_back(report);
     }
+    return added;
 }
 
 void demand_exchange::leave()
@@ -77,26 +114,46 @@
     send_outgoing();
 }
 
-void demand_exchange::merge(const std::vector<demand_report>& reports)
+void demand_exchange::resume(const demand_report& former)
+{
+    // The report stays in force at the other instances until this run reports something else.
+    if (options_.policy.resumes && former.incarnation != options_.incarnation &&
+        former.per_second > 0 && former.age < options_.retention)
+    {
+        former_.try_emplace(former.service, former);
+    }
+}
+
+void demand_exchange::merge(
+    const std::vector<demand_report>& reports,
+    const std::function<void(const demand_report&)>& on_new)
 {
     const std::uint64_t self = name_hash(options_.self);
     for (const demand_report& each : reports)
     {
-        // Reports of an earlier run of this instance may still be about.
         if (each.instance != self)
         {
-            add_report(each);
+            if (add_report(each) && on_new)
+            {
+                on_new(each);
+            }
+        }
+        else
+        {
+            // Reports of an earlier run of this instance may still be about.
+            resume(each);
         }
     }
     if (!outgoing_.empty())
     {
         start_ticking();
+        schedule_batch();
     }
 }
 
 std::optional<instance_demand> demand_exchange::settled_demand(const std::string& service)
 {
-    const auto settled = demands_[service].settled(options_.timers->now());
+    const auto settled = demand_of(service).settled(options_.timers->now());
     if (!settled)
     {
         return std::nullopt;
@@ -112,12 +169,20 @@
     return directory_.all(options_.timers->now());
 }
 
+std::size_t demand_exchange::instances_newer_than(duration age) const
+{
+    return directory_.instances_newer_than(age, options_.timers->now());
+}
+
 void demand_exchange::retain(const table_snapshot& table)
 {
-    const auto is_removed = [&](const std::string& service)
-    { return !table.services.contains(service); };
-    std::erase_if(demands_, [&](const auto& each) { return is_removed(each.first); });
-    std::erase_if(reported_services_, is_removed);
+    retain([&table](const std::string& service) { return table.services.contains(service); });
+}
+
+void demand_exchange::retain(const std::function<bool(const std::string& service)>& is_listed)
+{
+    std::erase_if(demands_, [&](const auto& each) { return !is_listed(each.first); });
+    std::erase_if(reported_services_, [&](const auto& each) { return !is_listed(each); });
 }
 
 void demand_exchange::start_ticking()
@@ -128,6 +193,20 @@
     }
 }
 
+void demand_exchange::schedule_batch()
+{
+    if (batch_timer_ == 0 && options_.batch_interval < tick_interval)
+    {
+        batch_timer_ = options_.timers->schedule_after(
+            options_.batch_interval,
+            [this]
+            {
+                batch_timer_ = 0;
+                send_outgoing();
+            });
+    }
+}
+
 void demand_exchange::tick()
 {
     tick_timer_ = 0;
@@ -139,14 +218,7 @@
     }
     if (!leaving_)
     {
-        for (const std::string& service : reported_services_)
-        {
-            own_demand& demand = demands_[service];
-            if (demand.is_report_due(now))
-            {
-                add_report(make_report(service, demand.report(now)));
-            }
-        }
+        report_own_demand();
     }
     send_outgoing();
     if (!reported_services_.empty() || directory_.size() > 0)
@@ -155,6 +227,33 @@
     }
 }
 
+void demand_exchange::report_own_demand()
+{
+    const auto now = options_.timers->now();
+    std::vector<std::string> due;
+    std::vector<std::string> near;
+    for (const std::string& service : reported_services_)
+    {
+        own_demand& demand = demand_of(service);
+        if (demand.is_report_due(now))
+        {
+            due.push_back(service);
+        }
+        else if (options_.policy.renews_together && demand.is_renewal_near(now))
+        {
+            near.push_back(service);
+        }
+    }
+    if (!due.empty())
+    {
+        due.insert(due.end(), near.begin(), near.end());
+    }
+    for (const std::string& service : due)
+    {
+        add_report(make_report(service, demand_of(service).report(now)));
+    }
+}
+
 void demand_exchange::send_outgoing()
 {
     const auto reports = std::exchange(outgoing_, {});
--- /dev/null
+++ b/packages/core/src/limits/organisation_quota.cpp
@@ -0,0 +1,489 @@
+#include <catkintally/core/limits/organisation_quota.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace catkintally::core
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Shares are computed anew after this time, and this long after a report at the latest.
+constexpr duration share_lifetime = seconds(1);
+constexpr duration report_delay = milliseconds(20);
+
+/// Largest part of a token, less than a whole one.
+constexpr double largest_fraction = 0.99;
+
+/// A token that is due within this time is waited for; none is borrowed.
+constexpr duration short_wait = milliseconds(20);
+
+/// Longest time for which an answer about a token is waited for. A link takes a few milliseconds.
+constexpr duration borrow_time = milliseconds(200);
+
+/// Tokens that are handed over at once, and part of those that are there.
+constexpr double most_given = 4;
+constexpr double part_given = 0.5;
+
+/// The first request of an organisation that has callers elsewhere may be a caller's second
+/// attempt after a refusal there. Demand is reported from the second one within this time.
+constexpr duration stray_time = seconds(10);
+
+/// Below this rate an instance has no callers of the organisation any more: no request for five
+/// time constants or so.
+constexpr double ended_demand = 0.0005;
+constexpr duration clean_up_interval = seconds(5);
+
+/// Reports of instances that are silent for this long may have expired elsewhere, as may those of
+/// this one there.
+constexpr duration given_up_age =
+    organisation_quota::retention_time - organisation_quota::renewal_interval - seconds(10);
+
+/// Time after which the reports of the others are known when contact has been regained.
+constexpr duration resync_time = milliseconds(750);
+
+/// Bounds of Retry-After.
+constexpr duration min_retry_after = milliseconds(50);
+constexpr duration max_retry_after = seconds(10);
+
+demand_exchange_options exchange_options(const organisation_quota_options& options)
+{
+    demand_exchange_options made;
+    made.timers = options.timers;
+    made.self = options.self;
+    made.incarnation = options.incarnation;
+    made.send = options.send_demand;
+    // Lent tokens make up for wrong shares, so that only large changes are worth a report to all.
+    made.policy = {
+        .averaging_time = seconds(15),
+        .renewal_interval = organisation_quota::renewal_interval,
+        .settle_time = milliseconds(250),
+        .factor = 2,
+        .tolerance = 0.25,
+        .noise = 0.3,
+        .renews_together = true,
+        .resumes = true};
+    made.retention = organisation_quota::retention_time;
+    made.batch_interval = milliseconds(20);
+    made.hash = organisation_quota::organisation_hash;
+    return made;
+}
+
+} // namespace
+
+organisation_quota::organisation_quota(organisation_quota_options options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+    , demand_(exchange_options(options_))
+    , lending_(lending_options())
+{
+    assert(options_.timers != nullptr);
+}
+
+organisation_quota::~organisation_quota()
+{
+    options_.timers->cancel(clean_up_timer_);
+}
+
+token_lending_options organisation_quota::lending_options()
+{
+    return {
+        .timers = options_.timers,
+        .self = name_hash(options_.self),
+        .seed = random_.next(),
+        .neighbours = [this]
+        { return options_.neighbours ? options_.neighbours() : std::vector<std::string>(); },
+        .send =
+            [this](const std::string& neighbour, const token_message& message)
+        {
+            if (options_.send_tokens)
+            {
+                options_.send_tokens(neighbour, message);
+            }
+        },
+        .give = [this](std::uint32_t organisation, std::uint16_t most)
+        { return give(organisation, most); },
+        .deposit =
+            [this](std::uint32_t organisation, std::uint16_t tokens)
+        {
+            if (quota* found = find(organisation))
+            {
+                found->bucket.deposit(tokens, options_.timers->now());
+            }
+        },
+        .holder =
+            [this](std::uint32_t organisation)
+        {
+            const quota* found = find(organisation);
+            if (found == nullptr || found->holders.empty())
+            {
+                return std::uint64_t{0};
+            }
+            const auto& holders = found->holders;
+            const std::size_t first = random_.next() % holders.size();
+            const std::uint64_t chosen = holders[first];
+            return chosen != name_hash(options_.self) ? chosen
+                   : holders.size() > 1               ? holders[(first + 1) % holders.size()]
+                                                      : std::uint64_t{0};
+        }};
+}
+
+void organisation_quota::apply(const table_snapshot& table)
+{
+    const auto now = options_.timers->now();
+    std::map<std::string, quota> former = std::exchange(quotas_, {});
+    names_.clear();
+    for (const organisation_row& row :
+         table.organisations.value_or(std::vector<organisation_row>()))
+    {
+        if (row.requests_per_s <= 0)
+        {
+            continue;
+        }
+        const auto hash = static_cast<std::uint32_t>(organisation_hash(row.name));
+        const auto found = former.find(row.name);
+        quota kept = found != former.end() ? std::move(found->second)
+                                           : quota{.bucket = token_bucket(0, now)};
+        const bool changed =
+            kept.row.requests_per_s != row.requests_per_s || kept.row.burst != row.burst;
+        kept.row = row;
+        kept.inputs = {
+            .name = hash, .per_second = row.requests_per_s, .saved = options_.window.saved(row)};
+        if (changed)
+        {
+            kept.computed_at = {};
+            kept.outdated = true;
+        }
+        quota& applied = quotas_.insert_or_assign(row.name, std::move(kept)).first->second;
+        names_.insert_or_assign(hash, row.name);
+        if (changed)
+        {
+            update_share(applied);
+        }
+    }
+    demand_.retain([this](const std::string& name) { return quotas_.contains(name); });
+    if (!quotas_.empty() && clean_up_timer_ == 0)
+    {
+        clean_up_timer_ =
+            options_.timers->schedule_after(clean_up_interval, [this] { clean_up(); });
+    }
+}
+
+organisation_quota::quota* organisation_quota::find(const std::string& organisation)
+{
+    const auto found = quotas_.find(organisation);
+    return found == quotas_.end() ? nullptr : &found->second;
+}
+
+organisation_quota::quota* organisation_quota::find(std::uint32_t hash)
+{
+    const auto found = names_.find(hash);
+    return found == names_.end() ? nullptr : find(found->second);
+}
+
+bool organisation_quota::in_contact()
+{
+    const auto now = options_.timers->now();
+    const bool has_contact = !options_.in_contact || options_.in_contact();
+    if (has_contact && !has_contact_)
+    {
+        contact_since_ = now;
+    }
+    has_contact_ = has_contact;
+    return has_contact && (contact_since_ == time_point{} || now - contact_since_ >= resync_time);
+}
+
+bool organisation_quota::is_given_up()
+{
+    const auto now = options_.timers->now();
+    if (now - given_up_checked_at_ >= share_lifetime)
+    {
+        given_up_checked_at_ = now;
+        given_up_ =
+            !in_contact() && (given_up_ || 2 * demand_.instances_newer_than(given_up_age) <
+                                               demand_.instances_newer_than(retention_time));
+    }
+    return given_up_;
+}
+
+limit_share organisation_quota::compute_share(const quota& self)
+{
+    if (leaving_ || is_given_up())
+    {
+        return {};
+    }
+    const auto demand = demand_.settled_demand(self.row.name);
+    if (!demand || !demand_.is_reporting(self.row.name))
+    {
+        return {};
+    }
+    const limit_share computed = divide_quota(self.inputs, *demand, demand_.demands(self.row.name));
+    // The demand of an earlier run of this instance is reserved by all others.
+    if (in_contact() || (self.share.holders == 0 && demand_.has_former(self.row.name)))
+    {
+        return computed;
+    }
+    return {
+        .per_second = std::min(computed.per_second, self.contact_share.per_second),
+        .burst = std::min(computed.burst, self.contact_share.burst),
+        .holders = computed.holders};
+}
+
+void organisation_quota::update_share(quota& self)
+{
+    const auto now = options_.timers->now();
+    const duration age = now - self.computed_at;
+    const bool settling = self.outdated || self.share.holders == 0;
+    if (self.computed_at != time_point{} && age < (settling ? report_delay : share_lifetime))
+    {
+        return;
+    }
+    const auto& demands = demand_.demands(self.row.name);
+    if (!std::exchange(self.started, true))
+    {
+        // Others with callers of the organisation hold all tokens that may be saved up. No demand
+        // at all is known after the whole fleet was started; one request need not wait then.
+        self.bucket = token_bucket(demands.empty() ? 1 : 0, now);
+    }
+    self.computed_at = now;
+    self.share = compute_share(self);
+    if (in_contact() || self.contact_share.holders == 0)
+    {
+        self.contact_share = self.share;
+    }
+    if (std::exchange(self.outdated, false) || self.holders.empty())
+    {
+        self.holders = quota_holders(self.inputs, demands);
+    }
+    const double least = demands.empty() ? 1 : largest_fraction;
+    self.bucket.configure(self.share.per_second, std::max(self.share.burst, least), now);
+}
+
+void organisation_quota::record(quota& self)
+{
+    const auto now = options_.timers->now();
+    demand_.record_request(self.row.name);
+    if (!demand_.is_reporting(self.row.name))
+    {
+        self.unreported = now - self.last_request_at < stray_time ? self.unreported + 1 : 1;
+        if (self.unreported >= 2 || demand_.demands(self.row.name).empty())
+        {
+            demand_.start_reporting(self.row.name);
+        }
+    }
+    self.last_request_at = now;
+}
+
+quota_decision organisation_quota::decide(quota& self, duration longest_wait)
+{
+    const auto now = options_.timers->now();
+    update_share(self);
+    const duration wait = self.bucket.time_until(1, now);
+    if (wait > longest_wait)
+    {
+        ++self.refused;
+        ++refused_;
+        return {.admitted = false, .retry_after = retry_after(self)};
+    }
+    self.bucket.take(now);
+    ++self.admitted;
+    return {.admitted = true, .wait = wait};
+}
+
+quota_decision organisation_quota::take(const std::string& organisation, duration longest_wait)
+{
+    quota* found = find(organisation);
+    if (found == nullptr)
+    {
+        return {};
+    }
+    record(*found);
+    return decide(*found, longest_wait);
+}
+
+void organisation_quota::request(
+    const std::string& organisation,
+    duration longest_wait,
+    std::function<void(const quota_decision&)> done)
+{
+    quota* found = find(organisation);
+    if (found == nullptr)
+    {
+        done({});
+        return;
+    }
+    record(*found);
+    update_share(*found);
+    const auto now = options_.timers->now();
+    const duration wait = found->bucket.time_until(1, now);
+    if (wait > std::min(short_wait, longest_wait))
+    {
+        const duration limit = std::min(borrow_time, longest_wait);
+        // The quota may be gone when the answer arrives.
+        const auto answered = [this, organisation, done, now, longest_wait](bool got)
+        {
+            quota* current = find(organisation);
+            if (got && current != nullptr)
+            {
+                // At once, as the bucket of an instance without a share keeps no whole token.
+                current->bucket.take(options_.timers->now());
+                ++current->admitted;
+                done({});
+                return;
+            }
+            const duration left =
+                std::max(longest_wait - (options_.timers->now() - now), duration::zero());
+            done(current == nullptr ? quota_decision{} : decide(*current, left));
+        };
+        const auto hash = static_cast<std::uint32_t>(organisation_hash(organisation));
+        // What exceeds the own bucket would be lost.
+        const auto wanted =
+            static_cast<std::uint16_t>(std::clamp(found->share.burst / 2, 1.0, most_given));
+        if (limit > duration::zero() && lending_.borrow(hash, wanted, limit, answered))
+        {
+            return;
+        }
+    }
+    done(decide(*found, longest_wait));
+}
+
+void organisation_quota::refund(const std::string& organisation)
+{
+    if (quota* found = find(organisation))
+    {
+        found->bucket.refund(options_.timers->now());
+    }
+}
+
+void organisation_quota::charge(const std::string& organisation, std::uint32_t executions)
+{
+    quota* found = find(organisation);
+    for (; found != nullptr && executions > 0; --executions)
+    {
+        found->bucket.take(options_.timers->now());
+    }
+}
+
+std::uint16_t organisation_quota::give(std::uint32_t organisation, std::uint16_t most)
+{
+    quota* found = find(organisation);
+    if (found == nullptr)
+    {
+        return 0;
+    }
+    update_share(*found);
+    const auto now = options_.timers->now();
+    if (!found->bucket.has_token(now))
+    {
+        return 0;
+    }
+    const double wanted = std::clamp<double>(most, 1, most_given);
+    const double given =
+        std::clamp(std::floor(found->bucket.tokens(now) * part_given), 1.0, wanted);
+    found->bucket.deposit(-given, now);
+    return static_cast<std::uint16_t>(given);
+}
+
+duration organisation_quota::retry_after(quota& self)
+{
+    // Callers return to any instance, so the first one is told when the fleet has its next token.
+    // Those that are refused here one after the other are spaced by the own share, as all instances
+    // together then promise no more than the rate.
+    const auto now = options_.timers->now();
+    const auto interval = [](double rate)
+    {
+        const std::chrono::duration<double> longest = max_retry_after;
+        return std::chrono::ceil<duration>(
+            rate > 0 ? std::min(longest, std::chrono::duration<double>(1 / rate)) : longest);
+    };
+    const duration own = interval(self.share.per_second);
+    const duration first = interval(self.row.requests_per_s);
+    const time_point slot =
+        self.promised_until <= now ? now + std::min(first, own) : self.promised_until + own;
+    self.promised_until = std::min(slot, now + max_retry_after);
+    // Half of the last step is random, so that callers that are refused by many instances at the
+    // same moment do not return together.
+    const double part = static_cast<double>(random_.next() >> 11U) * 0x1.0p-53;
+    const auto jitter = std::chrono::duration_cast<duration>(first * part);
+    return std::clamp(self.promised_until - now + jitter, min_retry_after, max_retry_after);
+}
+
+void organisation_quota::merge_demand(
+    const std::vector<demand_report>& reports, const std::string& neighbour)
+{
+    demand_.merge(
+        reports,
+        [&](const demand_report& report)
+        {
+            lending_.note_route(report.instance, neighbour);
+            if (quota* found = find(static_cast<std::uint32_t>(report.service)))
+            {
+                found->outdated = true;
+            }
+        });
+}
+
+void organisation_quota::leave()
+{
+    leaving_ = true;
+    for (auto& [name, each] : quotas_)
+    {
+        each.computed_at = {};
+    }
+    demand_.leave();
+}
+
+void organisation_quota::clean_up()
+{
+    clean_up_timer_ = 0;
+    // A loss of contact is noted also while there are no requests.
+    static_cast<void>(is_given_up());
+    for (auto& [name, each] : quotas_)
+    {
+        if (demand_.is_reporting(name) && demand_.measured(name) < ended_demand)
+        {
+            demand_.withdraw(name);
+            each.outdated = true;
+            each.unreported = 0;
+        }
+    }
+    if (!quotas_.empty())
+    {
+        clean_up_timer_ =
+            options_.timers->schedule_after(clean_up_interval, [this] { clean_up(); });
+    }
+}
+
+std::vector<organisation_quota_dump> organisation_quota::dump()
+{
+    std::vector<organisation_quota_dump> dumped;
+    const auto now = options_.timers->now();
+    for (auto& [name, each] : quotas_)
+    {
+        update_share(each);
+        double reported = 0;
+        for (const instance_demand& demand : demand_.demands(name))
+        {
+            reported += demand.per_second;
+        }
+        dumped.push_back(
+            {.organisation = name,
+             .per_second = each.row.requests_per_s,
+             .burst = each.row.burst,
+             .share = each.share,
+             .tokens = each.bucket.tokens(now),
+             .demand = demand_.measured(name),
+             .reported_demand = reported,
+             .admitted = each.admitted,
+             .refused = each.refused});
+    }
+    return dumped;
+}
+
+} // namespace catkintally::core
--- a/packages/core/src/limits/own_demand.cpp
+++ b/packages/core/src/limits/own_demand.cpp
@@ -1,31 +1,31 @@
-#include <catkintally/core/limits/demand_directory.hpp>
 #include <catkintally/core/limits/own_demand.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkintally::core
 {
 
-namespace
+bool own_demand::differs(double demand, double reported) const
 {
+    const double tolerance =
+        policy_.tolerance + policy_.noise * std::sqrt(std::max(demand, reported));
+    return demand > policy_.factor * reported + tolerance ||
+           reported > policy_.factor * demand + tolerance;
+}
 
-/// A changed demand is reported at most once in this time.
-constexpr duration min_report_interval = std::chrono::seconds(1);
-
-/// Time after which all instances know a report, unless news are very late.
-constexpr duration settle_time = std::chrono::seconds(4);
-
-/// True if a demand differs so much from the reported one that it is reported anew. Small demands
-/// fluctuate by more than the factor, hence the tolerance.
-bool differs(double demand, double reported)
+void own_demand::resume(double per_second, time_point now)
 {
-    constexpr double factor = 2;
-    constexpr double tolerance = 0.25;
-    return demand > factor * reported + tolerance || reported > factor * demand + tolerance;
+    if (reported_)
+    {
+        return;
+    }
+    meter_.assume(per_second, now);
+    resumed_ = true;
+    settled_ = per_second;
+    next_settled_ = per_second;
 }
 
-} // namespace
-
 bool own_demand::is_report_due(time_point now)
 {
     if (!reported_)
@@ -33,8 +33,13 @@
         return true;
     }
     const duration passed = now - reported_at_;
-    return passed >= demand_directory::renewal_interval ||
-           (passed >= min_report_interval && differs(meter_.per_second(now), *reported_));
+    return passed >= policy_.renewal_interval ||
+           (passed >= policy_.min_interval && differs(meter_.per_second(now), *reported_));
+}
+
+bool own_demand::is_renewal_near(time_point now) const
+{
+    return reported_ && now - reported_at_ >= policy_.renewal_interval / 2;
 }
 
 double own_demand::report(time_point now)
@@ -50,7 +55,7 @@
     {
         settled_ = std::min(settled(now).value_or(0), measured);
         next_settled_ = measured;
-        settles_at_ = now + settle_time;
+        settles_at_ = now + policy_.settle_time;
         reported_ = measured;
     }
     reported_at_ = now;
@@ -59,7 +64,7 @@
 
 std::optional<double> own_demand::settled(time_point now)
 {
-    if (!reported_ || now - first_reported_at_ < settle_time)
+    if (!resumed_ && (!reported_ || now - first_reported_at_ < policy_.settle_time))
     {
         return std::nullopt;
     }
