Quotas: messages between instances, the path of requests, metrics and dump

The quotas of organisations were decided nowhere. quota_part connects organisation_quota with the links (messages quota_notice and quota_token), with request_handler (quota_gate holds a request until it has a token, 429 refused_quota otherwise), and with metrics and dump section 'quotas'.

--- a/packages/core/include/catkintally/core/limits/organisation_quota.hpp
+++ b/packages/core/include/catkintally/core/limits/organisation_quota.hpp
@@ -97,9 +97,6 @@
     /// Returns the token of a request that ended without having been executed.
     void refund(const std::string& organisation);
 
-    /// Takes tokens for further executions of a request, without asking.
-    void charge(const std::string& organisation, std::uint32_t executions);
-
     /// True if the organisation has a quota.
     [[nodiscard]] bool has_quota(const std::string& organisation) const
     {
--- a/packages/core/src/fleet/fleet_node_messages.cpp
+++ b/packages/core/src/fleet/fleet_node_messages.cpp
@@ -116,6 +116,8 @@
     case wire::payload::census:
     case wire::payload::limit_notice:
     case wire::payload::demand_notice:
+    case wire::payload::quota_notice:
+    case wire::payload::quota_token:
     case wire::payload::peer_sample:
     case wire::payload::NONE:
         // Of links, and of instances that pass on news; not of this node.
--- a/packages/entry/include/catkintally/entry/http/request_handler.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_handler.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/fleet/admission_gateway.hpp>
 #include <catkintally/core/routing/router.hpp>
 #include <catkintally/entry/http/exchange.hpp>
+#include <catkintally/entry/http/quota_gate.hpp>
 #include <catkintally/entry/http/request_check.hpp>
 #include <catkintally/runtime/metrics/metrics_registry.hpp>
 
@@ -33,6 +34,8 @@
     runtime::metrics_registry* metrics = nullptr;
     /// See exchange_context.
     std::function<core::duration()> time_to_end{};
+    /// Quotas of organisations.
+    quota_hooks quota{};
 };
 
 /// Handles valid requests from callers: finds the route, chooses one of its services by weight,
@@ -57,8 +60,8 @@
     /// Next request id: 16 hexadecimal digits, as used in headers.
     [[nodiscard]] std::string next_request_id();
 
-    /// Number of exchanges that have not ended.
-    [[nodiscard]] std::size_t in_flight() const { return exchanges_.size(); }
+    /// Number of requests that have not ended.
+    [[nodiscard]] std::size_t in_flight() const { return exchanges_.size() + gate_.waiting(); }
 
 private:
     struct service_metrics
@@ -73,11 +76,14 @@
     [[nodiscard]] core::request_id next_id();
     [[nodiscard]] const core::service_config* choose_service(const core::route_row& route);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> current_exchanges() const;
+    /// Starts the exchange once the organisation's quota admits it.
+    void admit(pending_request& call, const exchange_plan& plan, const std::string& route);
     void start_exchange(pending_request& call, const exchange_plan& plan, const std::string& route);
     void record_outcome(
         const exchange_plan& plan, const std::string& route, const exchange_summary& summary);
 
     request_handler_options options_;
+    quota_gate gate_;
     std::optional<core::router> router_;
     core::split_mix random_;
     std::uint32_t next_id_ = 0;
--- a/packages/entry/include/catkintally/entry/instance.hpp
+++ b/packages/entry/include/catkintally/entry/instance.hpp
@@ -31,6 +31,8 @@
     /// How requests to targets are marked. Without a reader of loads the product's own marks are
     /// used.
     core::target_dialect dialect;
+    /// Quotas of organisations.
+    quota_hooks quota{};
 };
 
 /// One entry instance: callers' address, path, target connections and admin address. The table
--- a/packages/entry/include/catkintally/entry/news/gossip_node.hpp
+++ b/packages/entry/include/catkintally/entry/news/gossip_node.hpp
@@ -58,6 +58,10 @@
     std::function<void(const std::vector<core::demand_report>&)> on_demand{};
     /// Demand reports to send to a newly linked instance.
     std::function<std::vector<core::demand_report>()> demand_reports{};
+    /// A neighbour sent a message that is not handled here.
+    std::function<void(const core::member& from, const wire::payloadUnion&)> on_other{};
+    /// An instance was linked. Called before it is sent the versions of the known objects.
+    std::function<void(const core::member_id& peer)> on_linked{};
 };
 
 /// Gossips store updates between instances. Each instance has links to a few randomly chosen
@@ -104,6 +108,19 @@
     /// an estimate, the largest planned fleet is assumed.
     [[nodiscard]] core::fleet_size fleet() const;
 
+    /// Sends a message to one neighbour, or to all.
+    void send(const core::member_id& peer, const wire::payloadUnion& message)
+    {
+        network_.send(peer, message);
+    }
+    void broadcast(const wire::payloadUnion& message) { network_.send_to_all(message, {}); }
+
+    /// Instances with a link that is up.
+    [[nodiscard]] std::vector<core::member_id> neighbours() const
+    {
+        return network_.linked_members();
+    }
+
     [[nodiscard]] const peer_counters& counters() const { return network_.counters(); }
 
 private:
--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/news/reader_election.hpp>
 #include <catkintally/entry/instance.hpp>
 #include <catkintally/entry/news/gossip_node.hpp>
+#include <catkintally/entry/process/quota_part.hpp>
 #include <catkintally/entry/process/target_prober.hpp>
 #include <catkintally/entry/table/configuration_follower.hpp>
 #include <catkintally/entry/table/table_watcher.hpp>
@@ -68,6 +69,7 @@
     target_prober prober_;
     core::target_rate_limiter limiter_;
     core::probing_gateway gateway_;
+    quota_part quotas_;
     instance instance_;
     /// One of the two follows the store, by platform.configuration.
     std::unique_ptr<configuration_follower> follower_;
--- a/packages/entry/src/http/request_handler.cpp
+++ b/packages/entry/src/http/request_handler.cpp
@@ -91,6 +91,7 @@
 
 request_handler::request_handler(request_handler_options options)
     : options_(std::move(options))
+    , gate_(*options_.timers, options_.quota)
     , random_(options_.id_prefix)
 {
     options_.metrics->gauge(
@@ -197,7 +198,50 @@
         }
         admission.key = std::move(*key);
     }
-    start_exchange(call, plan, route->name);
+    admit(call, plan, route->name);
+}
+
+void request_handler::admit(
+    pending_request& call, const exchange_plan& plan, const std::string& route)
+{
+    const auto refuse = [this, &call, plan, route](const refusal& refused)
+    {
+        call.reply(
+            make_response(refused, plan.request_id, options_.dialect.fractional_retry_after));
+        exchange_summary summary;
+        summary.status = refused.status;
+        summary.reason = refused.reason;
+        record_outcome(plan, route, summary);
+    };
+    gate_.enter(
+        call, plan.request.organisation, plan.latency_objective / 2,
+        {.start =
+             [this, &call, plan, route](core::duration waited)
+         {
+             exchange_plan started = plan;
+             started.deadline -= waited;
+             // Zero would mean that the objective is unknown.
+             started.latency_objective -= std::min(waited, plan.latency_objective / 2);
+             start_exchange(call, started, route);
+         },
+         .refuse =
+             [refuse](core::duration retry_after)
+         {
+             refuse(
+                 {.status = 429,
+                  .claim = core::run_claim::not_run,
+                  .reason = "refused_quota",
+                  .retry_after = retry_after});
+         },
+         .give_up =
+             [refuse]
+         {
+             refuse(
+                 {.status = 503,
+                  .claim = core::run_claim::not_run,
+                  .reason = "stopping",
+                  .retry_after = not_ready_retry_after});
+         }});
 }
 
 void request_handler::start_exchange(
@@ -217,6 +261,10 @@
         [this, id, plan, route](const exchange_summary& summary)
         {
             record_outcome(plan, route, summary);
+            if (options_.quota.ended && !plan.request.organisation.empty())
+            {
+                options_.quota.ended(plan.request.organisation, summary);
+            }
             exchanges_.erase(id);
         });
     exchanges_.emplace(id, new_exchange);
@@ -243,6 +291,7 @@
 
 void request_handler::end_all()
 {
+    gate_.give_up_all();
     for (const auto& each : current_exchanges())
     {
         each->end_now();
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -116,7 +116,8 @@
           .gateway = &hooks_.gateway,
           .pool = &pool_,
           .metrics = &metrics_,
-          .time_to_end = [this] { return time_to_end(); }})
+          .time_to_end = [this] { return time_to_end(); },
+          .quota = hooks_.quota})
     , front_(
           loop,
           timers,
--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/news/gossip_node.hpp>
+#include <catkintally/entry/news/limit_messages.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
@@ -16,6 +17,7 @@
 namespace
 {
 
+using entry::to_message;
 using std::chrono::milliseconds;
 
 /// Interval between two exchanges of peer samples, which also replace lost neighbours.
@@ -111,39 +113,6 @@
 /// Maximum number of limits or demand reports in one message, about 64 KB.
 constexpr std::size_t max_notice_entries = 512;
 
-wire::payloadUnion to_message(std::span<const core::target_limit> limits)
-{
-    wire::limit_notice_data data;
-    for (const core::target_limit& each : limits)
-    {
-        auto copy = std::make_unique<wire::target_limit_data>();
-        copy->service = each.service;
-        copy->target = each.target;
-        copy->incarnation = each.incarnation;
-        copy->version = each.version;
-        copy->named = each.per_second.has_value();
-        copy->per_second = each.per_second.value_or(0);
-        copy->source = each.source;
-        data.limits.push_back(std::move(copy));
-    }
-    return wire::make_message(std::move(data));
-}
-
-core::target_limit to_limit(const wire::target_limit_data& data)
-{
-    core::target_limit limit{
-        .service = data.service,
-        .target = data.target,
-        .incarnation = data.incarnation,
-        .version = data.version,
-        .source = data.source};
-    if (data.named)
-    {
-        limit.per_second = data.per_second;
-    }
-    return limit;
-}
-
 wire::payloadUnion to_message(std::span<const core::demand_report> reports)
 {
     wire::demand_notice_data data;
@@ -505,6 +474,10 @@
 {
     // First, so that an instance that starts knows the limits before it has a table.
     send_limits(peer);
+    if (options_.on_linked)
+    {
+        options_.on_linked(peer);
+    }
     network_.send(peer, known_state_message());
     network_.send(peer, size_estimate_message());
     // With the recent reader statuses a starting instance can consider its objects fresh without
@@ -559,7 +532,11 @@
         handle_peer_sample(*message.Aspeer_sample());
         break;
     default:
-        // Instances in another admission mode send other messages.
+        // Instances in another admission mode send further messages.
+        if (options_.on_other)
+        {
+            options_.on_other(from, message);
+        }
         break;
     }
 }
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -65,6 +65,12 @@
            .dialect = &dialect_})
     , limiter_(limiter_options())
     , gateway_(gateway_options())
+    , quotas_(
+          {.timers = &timers,
+           .self = values.instance.id,
+           .limits = limits,
+           .news = [this] { return news_.get(); },
+           .in_contact = [this] { return !duty_ || duty_->is_fresh(); }})
     , instance_(loop, timers, settings_, hooks())
 {
     if (values.platform.configuration == runtime::platform_configuration::objects)
@@ -139,7 +145,10 @@
         .target_limits = [this] { return limiter_.limits(); },
         .on_demand = [this](const std::vector<core::demand_report>& reports)
         { limiter_.merge_demand(reports); },
-        .demand_reports = [this] { return limiter_.demand_reports(); }});
+        .demand_reports = [this] { return limiter_.demand_reports(); },
+        .on_other = [this](const core::member& from, const wire::payloadUnion& message)
+        { quotas_.receive(from, message); },
+        .on_linked = [this](const core::member_id& peer) { quotas_.on_linked(peer); }});
 }
 
 core::target_rate_limiter_options probing_process::limiter_options()
@@ -240,6 +249,7 @@
     hooks.gateway = gateway_.gateway();
     hooks.joined = [this] { return has_table_; };
     hooks.dialect = dialect_;
+    hooks.quota = quotas_.hooks();
     return hooks;
 }
 
@@ -278,6 +288,7 @@
 void probing_process::stop(std::function<void()> stopped)
 {
     limiter_.leave();
+    quotas_.leave();
     instance_.stop(std::move(stopped));
 }
 
@@ -285,6 +296,7 @@
 {
     has_table_ = true;
     gateway_.apply(table);
+    quotas_.apply(*table);
     instance_.apply_table(table);
 }
 
@@ -303,6 +315,7 @@
 {
     runtime::metrics_registry& metrics = instance_.metrics();
     add_store_metrics(metrics, api_);
+    quotas_.add_to(instance_);
     metrics.gauge(
         "catkintally_probes_sent", {}, [this] { return static_cast<double>(prober_.sent()); });
     metrics.gauge(
