--- a/packages/entry/include/catkintally/entry/http/request_handler.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_handler.hpp
@@ -7,6 +7,7 @@
 #include <catkintally/entry/http/exchange.hpp>
 #include <catkintally/entry/http/organisation_check.hpp>
 #include <catkintally/entry/http/organisation_metrics.hpp>
+#include <catkintally/entry/http/quota_gate.hpp>
 #include <catkintally/entry/http/request_check.hpp>
 #include <catkintally/runtime/metrics/metrics_registry.hpp>
 
@@ -36,6 +37,8 @@
     runtime::metrics_registry* metrics = nullptr;
     /// See exchange_context.
     std::function<core::duration()> time_to_end{};
+    /// Quotas of organisations.
+    quota_hooks quota{};
 };
 
 /// Handles valid requests from callers: finds the route, chooses one of its services by weight,
@@ -67,8 +70,8 @@
         return organisations_;
     }
 
-    /// Number of exchanges that have not ended.
-    [[nodiscard]] std::size_t in_flight() const { return exchanges_.size(); }
+    /// Number of requests that have not ended.
+    [[nodiscard]] std::size_t in_flight() const { return exchanges_.size() + gate_.waiting(); }
 
 private:
     struct service_metrics
@@ -89,12 +92,14 @@
     [[nodiscard]] core::request_id next_id();
     [[nodiscard]] const core::service_config* choose_service(const core::route_row& route);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> current_exchanges() const;
-    /// Starts the exchange of a request that has passed all checks.
+    /// Starts the exchange once the organisation's quota admits it.
+    void admit(pending_request& call, const exchange_plan& plan, const std::string& route);
     void start_exchange(pending_request& call, const exchange_plan& plan, const std::string& route);
     void record_outcome(
         const exchange_plan& plan, const std::string& route, const exchange_summary& summary);
 
     request_handler_options options_;
+    quota_gate gate_;
     std::optional<core::router> router_;
     core::organisation_directory organisations_;
     organisation_metrics organisation_metrics_;
--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/news/reader_election.hpp>
 #include <catkintally/entry/instance.hpp>
 #include <catkintally/entry/news/gossip_node.hpp>
+#include <catkintally/entry/process/quota_part.hpp>
 #include <catkintally/entry/process/shortage_metrics.hpp>
 #include <catkintally/entry/process/target_prober.hpp>
 #include <catkintally/entry/table/configuration_follower.hpp>
@@ -70,6 +71,7 @@
     core::target_rate_limiter limiter_;
     shortage_metrics shortage_metrics_;
     core::probing_gateway gateway_;
+    quota_part quotas_;
     instance instance_;
     /// One of the two follows the store, by platform.configuration.
     std::unique_ptr<configuration_follower> follower_;
