Quotas: reserve more of the bound, and take back what a share grew by in isolation

The buckets now hold 0.6 of the burst, shares follow demand averaged over 60 s, and an isolated instance falls back to its share of two to four seconds before. An ask for a token without an answer is repeated at another holder.

The fleet model delivers messages to a frozen instance when it goes on, as its sockets do, and the tests of disturbances now have the largest organisation.

--- a/packages/core/include/catkintally/core/limits/organisation_quota.hpp
+++ b/packages/core/include/catkintally/core/limits/organisation_quota.hpp
@@ -146,8 +146,11 @@
         limit_share share{};
         /// Instances with a share, as of the last computation.
         std::vector<std::uint64_t> holders{};
-        /// Share when this instance was in contact last.
+        /// Share that the others know of: that of one or two contact_lag ago, while this instance
+        /// was certainly in contact, and the candidate that replaces it.
         limit_share contact_share{};
+        limit_share next_contact_share{};
+        time_point contact_share_at{};
         time_point computed_at{};
         bool started = false;
         /// Reports have changed since the last computation.
@@ -173,6 +176,12 @@
     [[nodiscard]] bool is_given_up();
     /// True if shares may grow.
     [[nodiscard]] bool in_contact();
+    /// Takes a token by `latest`, own or borrowed.
+    void obtain(
+        const std::string& organisation,
+        time_point latest,
+        int asks,
+        std::function<void(const quota_decision&)> done);
     quota_decision decide(quota& self, duration longest_wait);
     [[nodiscard]] duration retry_after(quota& self);
     [[nodiscard]] std::uint16_t give(std::uint32_t organisation, std::uint16_t most);
--- a/packages/core/include/catkintally/core/limits/quota_window.hpp
+++ b/packages/core/include/catkintally/core/limits/quota_window.hpp
@@ -26,13 +26,14 @@
     }
 
     /// Requests that all instances together may have saved up. What the rate leaves of the bound is
-    /// rate x length x overshoot + burst x (1 + overshoot) + tolerance. The first part, and a
-    /// quarter of the others, are kept for late news, moved callers and requests that wait for a
-    /// target.
+    /// rate x length x overshoot + burst x (1 + overshoot) + tolerance. The first part, and
+    /// two fifths of the others, are kept for late news, for callers that move, and for a surge in
+    /// two parts of the fleet that do not hear each other. With 0.82 and 0.75 instead of the
+    /// constants below, a surge while a domain was cut off reached 1.0001 of the bound.
     [[nodiscard]] double saved(const organisation_row& row) const
     {
-        constexpr double burst_part = 0.82;
-        constexpr double tolerance_part = 0.75;
+        constexpr double burst_part = 0.6;
+        constexpr double tolerance_part = 0.65;
         const double sum = burst_part * row.burst * (1 + overshoot) + tolerance_part * tolerance;
         return std::max(sum, 1.0);
     }
--- a/packages/core/include/catkintally/core/limits/token_lending.hpp
+++ b/packages/core/include/catkintally/core/limits/token_lending.hpp
@@ -15,6 +15,15 @@
 namespace catkintally::core
 {
 
+/// How an ask ended.
+enum class ask_result : std::uint8_t
+{
+    got,
+    none,
+    /// An instance on the way has gone, or is slow.
+    no_answer
+};
+
 /// Fixed inputs of a token_lending; all hooks are required.
 struct token_lending_options
 {
@@ -61,7 +70,7 @@
         std::uint32_t organisation,
         std::uint16_t wanted,
         duration limit,
-        std::function<void(bool)> done);
+        std::function<void(ask_result)> done);
 
     void receive(const token_message& message, const std::string& from);
 
@@ -78,7 +87,7 @@
         std::string from;
         std::uint64_t id = 0;
         time_point expires_at{};
-        std::function<void(bool)> done;
+        std::function<void(ask_result)> done;
         timer_id timer = 0;
     };
     struct organisation_state
@@ -90,7 +99,7 @@
 
     void on_ask(const token_message& message, const std::string& from);
     void on_answer(const token_message& message);
-    void finish(std::uint64_t id, bool got);
+    void finish(std::uint64_t id, ask_result result);
     /// Sends an ask on its way; false if there is no neighbour to send it to.
     bool pass(token_message ask, const std::string& from);
     void remove_expired();
--- a/packages/core/src/limits/organisation_quota.cpp
+++ b/packages/core/src/limits/organisation_quota.cpp
@@ -35,6 +35,11 @@
 constexpr duration given_up_age =
     organisation_quota::retention_time - organisation_quota::renewal_interval - seconds(10);
 
+/// An instance notices after this time, at the latest, that it is isolated. What its share has
+/// grown by meanwhile is taken back: in a surge that began with the isolation of a quarter of 13
+/// instances, that quarter held 0.56 of the quota instead of 0.28.
+constexpr duration contact_lag = seconds(2);
+
 /// Time after which the reports of the others are known when contact has been regained.
 constexpr duration resync_time = milliseconds(750);
 
@@ -51,7 +56,7 @@
     made.send = options.send_demand;
     // Lent tokens make up for wrong shares, so that only large changes are worth a report to all.
     made.policy = {
-        .averaging_time = seconds(15),
+        .averaging_time = seconds(60),
         .renewal_interval = organisation_quota::renewal_interval,
         .settle_time = milliseconds(250),
         .factor = 2,
@@ -172,7 +177,7 @@
     }
     const limit_share computed = divide_quota(self.inputs, *demand, demand_.demands(self.row.name));
     // The demand of an earlier run of this instance is reserved by all others.
-    if (in_contact() || (self.share.holders == 0 && demand_.has_former(self.row.name)))
+    if (in_contact() || (self.contact_share.holders == 0 && demand_.has_former(self.row.name)))
     {
         return computed;
     }
@@ -200,9 +205,10 @@
     }
     self.computed_at = now;
     self.share = compute_share(self);
-    if (in_contact() || self.contact_share.holders == 0)
+    if (in_contact() && now - self.contact_share_at >= contact_lag)
     {
-        self.contact_share = self.share;
+        self.contact_share_at = now;
+        self.contact_share = std::exchange(self.next_contact_share, self.share);
     }
     if (std::exchange(self.outdated, false) || self.holders.empty())
     {
--- a/packages/core/src/limits/organisation_quota_lending.cpp
+++ b/packages/core/src/limits/organisation_quota_lending.cpp
@@ -18,7 +18,10 @@
 constexpr duration short_wait = milliseconds(20);
 
 /// Longest time for which an answer about a token is waited for. A link takes a few milliseconds.
-constexpr duration borrow_time = milliseconds(200);
+constexpr duration borrow_time = milliseconds(120);
+
+/// Asks for one request, each to another holder, while there is no answer.
+constexpr int max_asks = 3;
 
 /// Tokens that are handed over at once, and part of those that are there.
 constexpr double most_given = 4;
@@ -81,17 +84,32 @@
         return;
     }
     record(*found);
+    obtain(organisation, options_.timers->now() + longest_wait, max_asks, std::move(done));
+}
+
+void organisation_quota::obtain(
+    const std::string& organisation,
+    time_point latest,
+    int asks,
+    std::function<void(const quota_decision&)> done)
+{
+    quota* found = find(organisation);
+    if (found == nullptr)
+    {
+        // The quota was removed in the meantime.
+        done({});
+        return;
+    }
     update_share(*found);
     const auto now = options_.timers->now();
+    const duration left = std::max(latest - now, duration::zero());
     const duration wait = found->bucket.time_until(1, now);
-    if (wait > std::min(short_wait, longest_wait))
+    if (asks > 0 && left > duration::zero() && wait > std::min(short_wait, left))
     {
-        const duration limit = std::min(borrow_time, longest_wait);
-        // The quota may be gone when the answer arrives.
-        const auto answered = [this, organisation, done, now, longest_wait](bool got)
+        const auto answered = [this, organisation, latest, asks, done](ask_result result)
         {
             quota* current = find(organisation);
-            if (got && current != nullptr)
+            if (result == ask_result::got && current != nullptr)
             {
                 // At once, as the bucket of an instance without a share keeps no whole token.
                 current->bucket.take(options_.timers->now());
@@ -99,20 +117,18 @@
                 done({});
                 return;
             }
-            const duration left =
-                std::max(longest_wait - (options_.timers->now() - now), duration::zero());
-            done(current == nullptr ? quota_decision{} : decide(*current, left));
+            obtain(organisation, latest, result == ask_result::no_answer ? asks - 1 : 0, done);
         };
         const auto hash = static_cast<std::uint32_t>(organisation_hash(organisation));
         // What exceeds the own bucket would be lost.
         const auto wanted =
             static_cast<std::uint16_t>(std::clamp(found->share.burst / 2, 1.0, most_given));
-        if (limit > duration::zero() && lending_.borrow(hash, wanted, limit, answered))
+        if (lending_.borrow(hash, wanted, std::min(borrow_time, left), answered))
         {
             return;
         }
     }
-    done(decide(*found, longest_wait));
+    done(decide(*found, left));
 }
 
 std::uint16_t organisation_quota::give(std::uint32_t organisation, std::uint16_t most)
--- a/packages/core/src/limits/token_lending.cpp
+++ b/packages/core/src/limits/token_lending.cpp
@@ -52,7 +52,7 @@
     std::uint32_t organisation,
     std::uint16_t wanted,
     duration limit,
-    std::function<void(bool)> done)
+    std::function<void(ask_result)> done)
 {
     const auto now = options_.timers->now();
     organisation_state& state = organisations_[organisation];
@@ -75,7 +75,8 @@
     const std::uint64_t id = next_id_;
     open_ask& added = asks_.at(id);
     added.done = std::move(done);
-    added.timer = options_.timers->schedule_after(limit, [this, id] { finish(id, false); });
+    added.timer =
+        options_.timers->schedule_after(limit, [this, id] { finish(id, ask_result::no_answer); });
     return true;
 }
 
@@ -192,10 +193,10 @@
         borrowed_ += message.tokens;
         options_.deposit(message.organisation, message.tokens);
     }
-    finish(message.id, gives);
+    finish(message.id, gives ? ask_result::got : ask_result::none);
 }
 
-void token_lending::finish(std::uint64_t id, bool got)
+void token_lending::finish(std::uint64_t id, ask_result result)
 {
     const auto found = asks_.find(id);
     if (found == asks_.end())
@@ -207,9 +208,14 @@
     options_.timers->cancel(ask.timer);
     organisation_state& state = organisations_[ask.organisation];
     --state.open;
-    state.pause = got ? duration::zero() : std::clamp(state.pause * 2, first_pause, longest_pause);
+    if (result != ask_result::no_answer)
+    {
+        state.pause = result == ask_result::got
+                          ? duration::zero()
+                          : std::clamp(state.pause * 2, first_pause, longest_pause);
+    }
     state.paused_until = options_.timers->now() + state.pause;
-    ask.done(got);
+    ask.done(result);
 }
 
 } // namespace catkintally::core
--- a/packages/core/tests/limits/organisation_quota_test.cpp
+++ b/packages/core/tests/limits/organisation_quota_test.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Ranks of the organisations in the tests of disturbances: large, middle and small ones.
-const std::vector<std::size_t> some_ranks = {3, 20, 80};
+const std::vector<std::size_t> some_ranks = {1, 20, 80};
 
 /// What happens to a running fleet; `largest_part` is judged afterwards.
 struct disturbance
@@ -237,7 +237,7 @@
     };
     const row each = GENERATE(
         row{13, {}}, row{120, {}}, row{471, {1, 5, 10, 20, 40, 60, 80}}, row{2413, {5, 20, 80}});
-    const bool lends = GENERATE(false, true);
+    const bool lends = GENERATE(true, false);
     quota_fleet fleet({.instances = each.instances, .ranks = each.ranks, .lends = lends});
     fleet.run(30s);
     const auto from = fleet.timers.now();
--- a/packages/core/tests/limits/quota_fleet.cpp
+++ b/packages/core/tests/limits/quota_fleet.cpp
@@ -209,16 +209,32 @@
             {
                 for (const std::size_t number : receivers)
                 {
-                    played_instance& receiver = *instances_[number];
-                    if (receiver.quota && timers.now() >= receiver.frozen_until)
-                    {
-                        receiver.quota->merge_demand(*own, instances_[ways_[origin][number]]->name);
-                    }
+                    deliver_reports(origin, number, own);
                 }
             });
     }
 }
 
+void quota_fleet::deliver_reports(
+    std::size_t origin,
+    std::size_t number,
+    const std::shared_ptr<const std::vector<demand_report>>& own)
+{
+    played_instance& receiver = *instances_[number];
+    if (timers.now() < receiver.frozen_until)
+    {
+        // The message waits in the socket.
+        timers.schedule_after(
+            receiver.frozen_until - timers.now() +
+                std::chrono::duration_cast<duration>(options_.max_hop_delay * uniform()),
+            [this, origin, number, own] { deliver_reports(origin, number, own); });
+    }
+    else if (receiver.quota)
+    {
+        receiver.quota->merge_demand(*own, instances_[ways_[origin][number]]->name);
+    }
+}
+
 void quota_fleet::send_tokens(
     const played_instance& from, const std::string& to, const token_message& message)
 {
--- a/packages/core/tests/limits/quota_fleet.hpp
+++ b/packages/core/tests/limits/quota_fleet.hpp
@@ -115,6 +115,10 @@
     void link();
     void start(played_instance& self);
     void send_reports(const played_instance& from, const std::vector<demand_report>& reports);
+    void deliver_reports(
+        std::size_t origin,
+        std::size_t number,
+        const std::shared_ptr<const std::vector<demand_report>>& own);
     void send_tokens(const played_instance& from, const std::string& to, const token_message&);
     void schedule_request(std::size_t organisation);
     void send_request(std::size_t organisation, std::size_t instance, bool first);
