Quotas: after a start of the whole fleet the first shares hold tokens

Cause: after all instances had lost power, each share started with an empty bucket.

Change: an instance that started within the last window, and knows no report that is older than its own start, has started together with the fleet. Its first shares start with half of their tokens, as those of a rested organisation.

--- a/packages/core/include/catkintally/core/limits/organisation_quota.hpp
+++ b/packages/core/include/catkintally/core/limits/organisation_quota.hpp
@@ -92,7 +92,7 @@
     void request(
         const std::string& organisation,
         duration longest_wait,
-        std::function<void(const quota_decision&)> done);
+        const std::function<void(const quota_decision&)>& done);
 
     /// Returns the token of a request that ended without having been executed.
     void refund(const std::string& organisation);
@@ -155,8 +155,9 @@
         bool started = false;
         /// When this instance first heard of a demand of the organisation.
         time_point first_demand_at{};
-        /// Nobody has sent requests of the organisation within the last window.
+        /// Nobody sent requests of the organisation in the window before the first demand.
         bool rested = false;
+        bool had_share = false;
         /// Reports have changed since the last computation.
         bool outdated = true;
         token_bucket bucket;
@@ -174,6 +175,9 @@
     quota* find(std::uint32_t hash);
     void record(quota& self);
     void update_share(quota& self);
+    /// True if this instance started within the last window, together with all others that are
+    /// known.
+    [[nodiscard]] bool has_fleet_started() const;
     /// Notes that there is a demand of the organisation, here or elsewhere.
     void note_demand(quota& self);
     [[nodiscard]] limit_share compute_share(const quota& self);
@@ -187,7 +191,7 @@
         const std::string& organisation,
         time_point latest,
         int asks,
-        std::function<void(const quota_decision&)> done);
+        const std::function<void(const quota_decision&)>& done);
     quota_decision decide(quota& self, duration longest_wait);
     [[nodiscard]] duration retry_after(quota& self);
     [[nodiscard]] std::uint16_t give(std::uint32_t organisation, std::uint16_t most);
--- a/packages/core/src/limits/organisation_quota.cpp
+++ b/packages/core/src/limits/organisation_quota.cpp
@@ -25,10 +25,16 @@
 /// attempt after a refusal there. Demand is reported from the second one within this time.
 constexpr duration stray_time = seconds(10);
 
-/// An organisation whose first requests come when this instance has run for a whole window has not
-/// used any of its quota in that window. Its first shares start with this part of their tokens, as
-/// each instance may not know all others yet; empty ones refused a sixth of its first requests.
-constexpr double rested_tokens = 0.5;
+/// Part of its tokens with which a first share starts, if the organisation has not used its quota
+/// in the last window or the whole fleet started within it. Not all, since instances that do not
+/// know all others yet compute too large shares. Empty first shares refused a sixth of the requests
+/// in the first seconds of a day, and half of them after all instances had been killed. A whole
+/// fleet that starts twice in a window spends less of the bound on them than is left beside the
+/// shares.
+constexpr double first_tokens = 0.5;
+
+/// Instances that start together do so within this time.
+constexpr duration start_spread = milliseconds(500);
 
 /// Time after the first demand in which a first share counts as such.
 constexpr duration rested_time = seconds(2);
@@ -229,13 +235,21 @@
     }
     const double least = demands.empty() ? 1 : largest_fraction;
     self.bucket.configure(self.share.per_second, std::max(self.share.burst, least), now);
-    if (self.share.burst > 0 && std::exchange(self.rested, false) &&
-        now - self.first_demand_at < rested_time)
+    if (self.share.burst > 0 && !std::exchange(self.had_share, true))
     {
-        self.bucket.deposit(rested_tokens * self.share.burst, now);
+        const bool rested = self.rested && now - self.first_demand_at < rested_time;
+        self.bucket.deposit(
+            rested || has_fleet_started() ? first_tokens * self.share.burst : 0, now);
     }
 }
 
+bool organisation_quota::has_fleet_started() const
+{
+    const duration uptime = options_.timers->now() - created_at_;
+    return uptime < options_.window.length && demand_.instances_newer_than(uptime + start_spread) ==
+                                                  demand_.instances_newer_than(retention_time);
+}
+
 void organisation_quota::note_demand(quota& self)
 {
     if (self.first_demand_at == time_point{})
--- a/packages/core/src/limits/organisation_quota_lending.cpp
+++ b/packages/core/src/limits/organisation_quota_lending.cpp
@@ -75,7 +75,7 @@
 void organisation_quota::request(
     const std::string& organisation,
     duration longest_wait,
-    std::function<void(const quota_decision&)> done)
+    const std::function<void(const quota_decision&)>& done)
 {
     quota* found = find(organisation);
     if (found == nullptr)
@@ -84,14 +84,14 @@
         return;
     }
     record(*found);
-    obtain(organisation, options_.timers->now() + longest_wait, max_asks, std::move(done));
+    obtain(organisation, options_.timers->now() + longest_wait, max_asks, done);
 }
 
 void organisation_quota::obtain(
     const std::string& organisation,
     time_point latest,
     int asks,
-    std::function<void(const quota_decision&)> done)
+    const std::function<void(const quota_decision&)>& done)
 {
     quota* found = find(organisation);
     if (found == nullptr)
