--- a/packages/entry/src/process/quota_part.cpp
+++ b/packages/entry/src/process/quota_part.cpp
@@ -101,8 +101,8 @@
     quota_hooks hooks;
     hooks.take = [this](
                      const std::string& organisation, core::duration longest_wait,
-                     std::function<void(const core::quota_decision&)> done)
-    { quota_.request(organisation, longest_wait, std::move(done)); };
+                     const std::function<void(const core::quota_decision&)>& done)
+    { quota_.request(organisation, longest_wait, done); };
     hooks.refund = [this](const std::string& organisation) { quota_.refund(organisation); };
     hooks.ended = [this](const std::string& organisation, const exchange_summary& summary)
     {
--- a/packages/entry/tests/http/target_loss_test.cpp
+++ b/packages/entry/tests/http/target_loss_test.cpp
@@ -41,7 +41,7 @@
         for (int& each : queued_)
         {
             each = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            connect(each, address, length);
+            static_cast<void>(connect(each, address, length));
         }
     }
 
