--- a/packages/entry/src/news/quota_messages.cpp
+++ b/packages/entry/src/news/quota_messages.cpp
@@ -123,7 +123,7 @@
     data.holder = message.holder;
     data.hops = message.hops;
     data.tokens = message.tokens;
-    return wire::make_message(std::move(data));
+    return wire::make_message(data);
 }
 
 core::token_message to_token_message(const wire::quota_token_data& data)
