--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -87,7 +87,8 @@
         self.revision = 100
         self.objects = {}
         self.events = []
-        self.changed = asyncio.Condition()
+        # Set at the next change, and replaced by a new one then.
+        self.changed = asyncio.Event()
         self.server = None
 
     async def start(self, host):
@@ -111,8 +112,8 @@
 
     async def tell(self, kind, item, deleted):
         self.events.append((self.revision, kind, {"object": item, "deleted": deleted}))
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def since(self, kind, revision):
         return [event for at, each, event in self.events if each == kind and at > revision]
@@ -144,9 +145,8 @@
             end = time.monotonic() + int(asked.get("wait-ms", "0")) / 1000
             while not self.since(kind, revision) and time.monotonic() < end:
                 with contextlib.suppress(asyncio.TimeoutError):
-                    async with self.changed:
-                        await asyncio.wait_for(
-                            self.changed.wait(), max(0.001, end - time.monotonic()))
+                    await asyncio.wait_for(
+                        self.changed.wait(), max(0.001, end - time.monotonic()))
             return 200, {"events": self.since(kind, revision), "store-revision": self.revision}
         names = sorted(name for each, name in self.objects if each == kind)
         names = [name for name in names if name > asked.get("after", "")]
@@ -281,6 +281,8 @@
         self.store = Store()
         self.upstreams = [Upstream(self, *each) for each in upstreams]
         self.routes = routes
+        self.tenants = []
+        self.bounds = dict(BOUNDS)
         self.instances = []
         self.processes = {}
         self.writers_of_settings = {}
@@ -289,6 +291,8 @@
         self.background = set()
         self.ids = itertools.count(1)
         self.seed = random.getrandbits(24)
+        # Seconds for which the answer to an attempt asks its caller to wait.
+        self.retry_after = {}
         # Of each attempt: where and when it began, finished and crashed.
         self.runs = {}
 
@@ -337,7 +341,8 @@
             "listeners": [{"host": host, "rules": rules} for host, rules in listeners.items()],
             "clusters": [{"name": name, "health-path": "/healthz", "max-connections": 220,
                           "protocol": "h1", "tls": False, "warmup-s": self.warmup_s,
-                          "warmup-per-s": self.warmup_per_s} for name in services]}
+                          "warmup-per-s": self.warmup_per_s} for name in services],
+            **({"tenants": self.tenants} if self.tenants else {})}
 
     async def start(self, stale_seeds_s=None):
         """With `stale_seeds_s`, the settings name three addresses at which no machine is any more.
@@ -386,7 +391,7 @@
             "listen.frontend": f"{ip}:{frontend}", "listen.readiness": f"{ip}:{readiness}",
             "listen.control-plane": f"{ip}:{control}",
             "platform.address": self.store_address,
-            "bounds": ",".join(f"{key}={value}" for key, value in BOUNDS.items())}
+            "bounds": ",".join(f"{key}={value}" for key, value in self.bounds.items())}
 
         def write(named_seeds):
             values["seed-nodes"] = ",".join(f"{seed}:{control}" for seed in named_seeds)
@@ -396,6 +401,7 @@
 
         write(seeds)
         self.writers_of_settings[name] = write
+        self.frontends[name] = ((ip, frontend), (ip, readiness), zone)
         command = deploy["run"].replace("/etc/catkintally/settings.toml", str(settings)).split(" ")
         command[0] = str(ROOT / command[0])
         with open(Path(self.temporary.name) / f"{name}.log", "ab") as log:
@@ -403,8 +409,6 @@
                                        cwd=ROOT)
         self.instances.append(process)
         self.processes[name] = process
-        self.frontends[name] = ((ip, frontend), (ip, readiness), zone)
-        return process
 
     async def wait_ready(self, name, address, limit_s=15.0):
         end = time.monotonic() + limit_s
@@ -452,6 +456,7 @@
         reason = answer[1].get("catkintally-reason", "") if answer else ""
         self.record(f"{what} {attempt} {method} {path}, sent at {sent:.3f} s to {name}: "
                     f"{status or 'no answer'} {reason}")
+        self.retry_after[attempt] = float(answer[1].get("retry-after", 0)) if answer else 0.0
         return attempt, status, sent
 
     async def stop(self):
