--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -391,7 +391,7 @@
             "listen.frontend": f"{ip}:{frontend}", "listen.readiness": f"{ip}:{readiness}",
             "listen.control-plane": f"{ip}:{control}",
             "platform.address": self.store_address,
-            "bounds": ",".join(f"{key}={value}" for key, value in self.bounds.items())}
+            "bounds": json.dumps(self.bounds, separators=(",", ":"))}
 
         def write(named_seeds):
             values["seed-nodes"] = ",".join(f"{seed}:{control}" for seed in named_seeds)
@@ -476,12 +476,14 @@
 
 def run(folder, main):
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    # A stop from outside ends the case like an interrupt, so that its processes are ended too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("with the disruption" if trouble else "without the disruption (TROUBLE=0)")
     try:
         code = asyncio.run(asyncio.wait_for(main(record, trouble), 110))
-    except Exception as error:  # pylint: disable=broad-except
+    except Exception as error:
         record(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}")
         code = 2
