--- a/packages/entry/src/table/configuration_follower.cpp
+++ b/packages/entry/src/table/configuration_follower.cpp
@@ -473,7 +473,7 @@
         return;
     }
     configuration_ = decoded;
-    log_configuration(*configuration_, found->second.version);
+    log_configuration(*configuration_, found->second);
 }
 
 std::map<std::string, core::store_object> configuration_follower::evacuations_in_force() const
--- a/packages/entry/src/table/configuration_log.cpp
+++ b/packages/entry/src/table/configuration_log.cpp
@@ -15,13 +15,14 @@
 
 } // namespace
 
-void log_configuration(const core::configuration& configuration, std::uint64_t store_version)
+void log_configuration(const core::configuration& configuration, const core::store_object& object)
 {
     const std::string version = std::to_string(configuration.version);
     runtime::log_event(
         runtime::event_id::configuration_applied,
         {{"configuration", version},
-         {"store_version", std::to_string(store_version)},
+         {"store_version", std::to_string(object.version)},
+         {"bytes", std::to_string(object.value.size())},
          {"routes", std::to_string(configuration.routes.size())},
          {"services", std::to_string(configuration.services.size())}});
     const auto& refused = configuration.refused_organisations;
--- a/packages/runtime/include/catkintally/runtime/http/http_client.hpp
+++ b/packages/runtime/include/catkintally/runtime/http/http_client.hpp
@@ -56,6 +56,7 @@
     using connection_ptr = std::unique_ptr<evhttp_connection, connection_deleter>;
     struct pending_call;
 
+    static void on_body_part(evhttp_request* response, void* context);
     static void on_response(evhttp_request* response, void* context);
     void send(pending_call& started);
     connection_ptr take_connection(pending_call& started);
--- a/packages/runtime/include/catkintally/runtime/http/http_exchange.hpp
+++ b/packages/runtime/include/catkintally/runtime/http/http_exchange.hpp
@@ -3,6 +3,7 @@
 #include <catkintally/core/table/endpoint.hpp>
 #include <catkintally/core/time/timer_service.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -55,6 +56,8 @@
     int status = 0;
     std::vector<std::pair<std::string, std::string>> headers{};
     std::string body{};
+    /// Bytes of the body that arrived, also if it is not whole.
+    std::size_t received_bytes = 0;
 };
 
 } // namespace catkintally::runtime
--- a/packages/runtime/src/http/http_client.cpp
+++ b/packages/runtime/src/http/http_client.cpp
@@ -48,6 +48,8 @@
     core::timer_id deadline_timer = 0;
     core::timer_id finish_timer = 0;
     http_response response;
+    /// What has arrived of the response's body.
+    std::string received;
 };
 
 void http_client::connection_deleter::operator()(evhttp_connection* connection) const
@@ -84,7 +86,7 @@
         started.request.deadline,
         [this, &started]
         {
-            started.response = {};
+            started.response = {.received_bytes = started.received.size()};
             started.connection.reset();
             started.reused = false;
             finish(started.id);
@@ -136,8 +138,10 @@
 {
     started.ended = false;
     started.response = {};
+    started.received.clear();
     started.connection = take_connection(started);
     auto* request = evhttp_request_new(&http_client::on_response, &started);
+    evhttp_request_set_chunked_cb(request, &http_client::on_body_part);
     auto* headers = evhttp_request_get_output_headers(request);
     // A caller's own Host field replaces the address; a request with two is malformed.
     const auto& fields = started.request.headers;
@@ -172,6 +176,16 @@
     }
 }
 
+void http_client::on_body_part(evhttp_request* response, void* context)
+{
+    auto& receiving = *static_cast<pending_call*>(context);
+    evbuffer* input = evhttp_request_get_input_buffer(response);
+    const std::size_t size = evbuffer_get_length(input);
+    const std::size_t before = receiving.received.size();
+    receiving.received.resize(before + size);
+    evbuffer_copyout(input, receiving.received.data() + before, size);
+}
+
 // libevent still uses the connection after this callback, and may call it from inside send(), so
 // the call ends in a later turn of the loop.
 void http_client::on_response(evhttp_request* response, void* context)
@@ -184,15 +198,15 @@
         // libevent passes a request without a status when the connection could not be made.
         ended.response.outcome = status == 0 ? http_outcome::not_connected : http_outcome::answered;
         ended.response.status = status;
-        evbuffer* input = evhttp_request_get_input_buffer(response);
-        ended.response.body.resize(evbuffer_get_length(input));
-        evbuffer_copyout(input, ended.response.body.data(), ended.response.body.size());
+        on_body_part(response, context);
+        ended.response.body = std::move(ended.received);
         for (const auto* header = evhttp_request_get_input_headers(response)->tqh_first;
              header != nullptr; header = header->next.tqe_next)
         {
             ended.response.headers.emplace_back(header->key, header->value);
         }
     }
+    ended.response.received_bytes = std::max(ended.response.body.size(), ended.received.size());
     ended.finish_timer = ended.client->timers_.schedule_after(
         core::duration::zero(), [&ended] { ended.client->finish(ended.id); });
 }
