--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -1,6 +1,7 @@
 #include <catkintally/entry/news/gossip_node.hpp>
 #include <catkintally/entry/news/limit_messages.hpp>
 #include <catkintally/entry/news/message_age.hpp>
+#include <catkintally/entry/news/update_messages.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
 #include <catkintally/wire/codec/frame_codec.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
@@ -47,53 +48,6 @@
 /// instance's share of fleet-wide limits follows from it.
 constexpr core::fleet_size assumed_fleet_size = {.near = 250, .far = 2'250};
 
-wire::payloadUnion to_message(const object_update& update)
-{
-    wire::news_update_data data;
-    data.prefix = update.prefix;
-    data.digest = update.digest;
-    data.version = update.version;
-    data.whole = update.whole;
-    data.era = update.era;
-    data.era_reader = update.era_reader;
-    for (const core::store_object& object : update.objects)
-    {
-        auto copy = std::make_unique<wire::news_object_data>();
-        copy->key = object.key;
-        copy->version = object.version;
-        copy->value = object.value;
-        copy->status = object.status;
-        copy->deleted = object.deleted;
-        copy->era = object.era;
-        copy->content = object.content;
-        data.objects.push_back(std::move(copy));
-    }
-    return wire::make_message(std::move(data));
-}
-
-object_update to_update(const wire::news_update_data& data)
-{
-    object_update update;
-    update.prefix = data.prefix;
-    update.digest = data.digest;
-    update.version = data.version;
-    update.whole = data.whole;
-    update.era = data.era;
-    update.era_reader = data.era_reader;
-    for (const auto& object : data.objects)
-    {
-        update.objects.push_back(
-            {.key = object->key,
-             .version = object->version,
-             .value = object->value,
-             .deleted = object->deleted,
-             .status = object->status,
-             .era = object->era,
-             .content = object->content});
-    }
-    return update;
-}
-
 /// False for an update that no instance sends: without a version, or with objects of another kind.
 bool is_well_formed(const object_update& update)
 {
--- /dev/null
+++ b/packages/entry/src/news/update_messages.cpp
@@ -0,0 +1,57 @@
+#include <catkintally/entry/news/update_messages.hpp>
+#include <catkintally/wire/codec/make_message.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace catkintally::entry
+{
+
+wire::payloadUnion to_message(const object_update& update)
+{
+    wire::news_update_data data;
+    data.prefix = update.prefix;
+    data.digest = update.digest;
+    data.version = update.version;
+    data.whole = update.whole;
+    data.era = update.era;
+    data.era_reader = update.era_reader;
+    for (const core::store_object& object : update.objects)
+    {
+        auto copy = std::make_unique<wire::news_object_data>();
+        copy->key = object.key;
+        copy->version = object.version;
+        copy->value = object.value;
+        copy->status = object.status;
+        copy->deleted = object.deleted;
+        copy->era = object.era;
+        copy->content = object.content;
+        data.objects.push_back(std::move(copy));
+    }
+    return wire::make_message(std::move(data));
+}
+
+object_update to_update(const wire::news_update_data& data)
+{
+    object_update update;
+    update.prefix = data.prefix;
+    update.digest = data.digest;
+    update.version = data.version;
+    update.whole = data.whole;
+    update.era = data.era;
+    update.era_reader = data.era_reader;
+    for (const auto& object : data.objects)
+    {
+        update.objects.push_back(
+            {.key = object->key,
+             .version = object->version,
+             .value = object->value,
+             .deleted = object->deleted,
+             .status = object->status,
+             .era = object->era,
+             .content = object->content});
+    }
+    return update;
+}
+
+} // namespace catkintally::entry
--- a/packages/runtime/tests/http/http_client_test.cpp
+++ b/packages/runtime/tests/http/http_client_test.cpp
@@ -4,12 +4,14 @@
 
 #include <catch2/catch.hpp>
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <optional>
 #include <set>
 
 using namespace catkintally;
@@ -24,9 +26,19 @@
 {
     answer,
     close,
-    stay_silent
+    stay_silent,
+    /// Sends the body in parts. The pause before each is shorter than the call's deadline, all of
+    /// them together are longer.
+    answer_in_parts,
+    /// The same without the last part.
+    stop_midway
 };
 
+constexpr auto deadline_of_parts = 1s;
+constexpr auto part_pause = 150ms;
+constexpr int part_count = 10;
+constexpr std::size_t part_bytes = 4'000;
+
 /// Server that counts requests and connections and reacts as scripted.
 struct scripted_server
 {
@@ -82,6 +94,35 @@
         {
             self.timers.schedule_after(0ms, [connection] { evhttp_connection_free(connection); });
         }
+        else if (next != reaction::stay_silent)
+        {
+            const std::string size = std::to_string(part_count * part_bytes);
+            evhttp_add_header(
+                evhttp_request_get_output_headers(request), "Content-Length", size.c_str());
+            evhttp_send_reply_start(request, 200, nullptr);
+            self.send_part(request, next == reaction::stop_midway ? part_count - 1 : part_count, 1);
+        }
+    }
+
+    void send_part(evhttp_request* request, int last, int part)
+    {
+        timers.schedule_after(
+            part_pause,
+            [this, request, last, part]
+            {
+                evbuffer* body = evbuffer_new();
+                evbuffer_add(body, std::string(part_bytes, 'x').data(), part_bytes);
+                evhttp_send_reply_chunk(request, body);
+                evbuffer_free(body);
+                if (part < last)
+                {
+                    send_part(request, last, part + 1);
+                }
+                else if (last == part_count)
+                {
+                    evhttp_send_reply_end(request);
+                }
+            });
     }
 
     libevent_timer_service& timers;
@@ -199,6 +240,45 @@
     }
 }
 
+// Guards against a large answer that is given up while it is arriving, so that it is never read
+// over a slow link.
+TEST_CASE("a deadline bounds the silence of a server, not the length of its answer", "[!mayfail]")
+{
+    struct row
+    {
+        const char* name;
+        reaction next;
+        http_outcome outcome;
+        std::size_t received_bytes;
+    };
+    const std::vector<row> rows = {
+        {"the answer goes on arriving", reaction::answer_in_parts, http_outcome::answered,
+         part_count * part_bytes},
+        {"the answer stops midway", reaction::stop_midway, http_outcome::no_answer,
+         (part_count - 1) * part_bytes}};
+    for (const row& each : rows)
+    {
+        INFO(each.name);
+        event_loop loop;
+        libevent_timer_service timers(loop);
+        scripted_server server(loop, timers);
+        server.script = {each.next};
+        http_client client(loop, timers);
+        std::optional<http_response> response;
+        client.call(
+            {.address = {.host = "127.0.0.1", .port = server.port},
+             .deadline = deadline_of_parts,
+             .idempotent = true},
+            [&](const http_response& received) { response = received; });
+        REQUIRE(run_until(loop, timers, [&] { return response.has_value(); }));
+        CHECK(response->outcome == each.outcome);
+        CHECK(response->received_bytes == each.received_bytes);
+        CHECK(
+            response->body.size() ==
+            (each.outcome == http_outcome::answered ? each.received_bytes : 0));
+    }
+}
+
 // Guards against a hook that runs after its owner has withdrawn the call.
 TEST_CASE("a cancelled call does not call its hook")
 {
