News: a change of a large object is sent as a difference

Cause: each change sent the whole configuration to every neighbour, also to those that had it. At 219 instances with 10 Mbit/s that filled the links for seconds, and readers' words waited behind it, so that hundreds of instances turned to the store and listed the configuration, over the same links. The class of fault: a transfer whose size follows from the state, not from the change.

Ruled out by a run: the processor alone (without charged processor time the last instance knows a change after 1.5 s, with it after 1.9 s).

A mirror that reads a change of an object of 4 KB or more adds what turns the known value into the new one (zstd with the known value as prefix, and a checksum). It is sent in place of the value. An instance without the base, or with a delta that does not fit, treats the update as a gap and asks for everything, as before. Of several changes of one object in one answer only the last is sent. The protocol version rises, since an instance that does not know the field would take the value for empty: instances of different versions do not link, and each kind reads the store by itself.

Test: 'a change of a large configuration reaches all instances in time' failed before in four of five rows (305 to 368 KB an instance and change at 219 instances, 203 and 9 of 219 in time) and passes (1.2 to 1.4 KB for a route).

--- a/packages/entry/include/catkintally/entry/peers/hello_auth.hpp
+++ b/packages/entry/include/catkintally/entry/peers/hello_auth.hpp
@@ -10,7 +10,7 @@
 {
 
 /// Version of the protocol between instances. Instances of different versions do not connect.
-inline constexpr std::uint32_t peer_protocol_version = 2;
+inline constexpr std::uint32_t peer_protocol_version = 3;
 
 /// Builds the hello of `self` and authenticates it with the shared key; an empty key leaves the
 /// authentication code empty. `peer_nonce` is the nonce of the
--- a/packages/entry/include/catkintally/entry/table/object_mirror.hpp
+++ b/packages/entry/include/catkintally/entry/table/object_mirror.hpp
@@ -14,6 +14,14 @@
 namespace catkintally::entry
 {
 
+/// What turns the value of an object at the position `base` into its next value
+/// (wire::apply_delta).
+struct object_delta
+{
+    core::store_position base;
+    std::string bytes;
+};
+
 /// Changes of objects under one prefix. Each change is valid by itself; the digest shows whether
 /// earlier changes were missed.
 struct object_update
@@ -29,6 +37,8 @@
     std::uint64_t era = 0;
     /// Instance that read the era from the store.
     std::string era_reader{};
+    /// Changes of large values, by key. Such an object may come without its value.
+    std::map<std::string, object_delta> deltas{};
 
     [[nodiscard]] core::store_position position() const { return {.era = era, .version = version}; }
 };
@@ -117,7 +127,7 @@
     void halt();
 
     /// Applies an update that another instance forwards.
-    update_result offer(const object_update& update);
+    update_result offer(const object_update& offered);
 
     /// All known objects as one update, to be forwarded.
     [[nodiscard]] object_update whole() const;
@@ -160,6 +170,14 @@
     void apply_list(core::store_list_result answer);
     void apply_events(core::store_list_result answer);
     bool apply(const std::vector<core::store_object>& changes);
+    update_result apply_update(const object_update& update);
+    /// Deltas from the known objects to large new ones.
+    [[nodiscard]] std::map<std::string, object_delta>
+    deltas_to(const std::vector<core::store_object>& changes) const;
+    /// Fills in the values that the update has only as deltas, and drops the objects that are not
+    /// newer than the known ones. False if the base of a delta is not known; that object is
+    /// dropped, too.
+    bool restore_values(object_update& update) const;
     /// Applies the objects that are newer in content than the known ones.
     bool apply_newer_content(const std::vector<core::store_object>& objects);
     /// Replaces all objects, except those that are newer in content than the given ones and those
--- a/packages/entry/src/news/update_messages.cpp
+++ b/packages/entry/src/news/update_messages.cpp
@@ -21,7 +21,16 @@
         auto copy = std::make_unique<wire::news_object_data>();
         copy->key = object.key;
         copy->version = object.version;
-        copy->value = object.value;
+        if (const auto delta = update.deltas.find(object.key); delta != update.deltas.end())
+        {
+            copy->delta.assign(delta->second.bytes.begin(), delta->second.bytes.end());
+            copy->base_version = delta->second.base.version;
+            copy->base_era = delta->second.base.era;
+        }
+        else
+        {
+            copy->value = object.value;
+        }
         copy->status = object.status;
         copy->deleted = object.deleted;
         copy->era = object.era;
@@ -50,6 +59,12 @@
              .status = object->status,
              .era = object->era,
              .content = object->content});
+        if (!object->delta.empty())
+        {
+            update.deltas[object->key] = {
+                .base = {.era = object->base_era, .version = object->base_version},
+                .bytes = std::string(object->delta.begin(), object->delta.end())};
+        }
     }
     return update;
 }
--- a/packages/entry/src/table/object_mirror.cpp
+++ b/packages/entry/src/table/object_mirror.cpp
@@ -1,6 +1,10 @@
 #include <catkintally/core/admission/split_mix.hpp>
 #include <catkintally/entry/table/object_mirror.hpp>
 #include <catkintally/runtime/log/event_log.hpp>
+#include <catkintally/wire/codec/frame_codec.hpp>
+#include <catkintally/wire/codec/value_delta.hpp>
+
+#include <boost/leaf/result.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -11,6 +15,7 @@
 namespace catkintally::entry
 {
 
+namespace leaf = boost::leaf;
 using core::store_list_result;
 using core::store_status;
 
@@ -20,6 +25,22 @@
 /// Least time between two lists that follow a gap in the history.
 constexpr auto min_gap_interval = std::chrono::milliseconds(300);
 
+/// Smaller values are sent whole.
+constexpr std::size_t least_delta_bytes = 4'096;
+
+/// Removes the objects that a later one with the same key replaces.
+void remove_superseded(std::vector<core::store_object>& objects)
+{
+    std::map<std::string, std::size_t> last;
+    for (std::size_t i = 0; i < objects.size(); ++i)
+    {
+        last[objects[i].key] = i;
+    }
+    std::size_t index = 0;
+    std::erase_if(
+        objects, [&](const core::store_object& object) { return last.at(object.key) != index++; });
+}
+
 /// Forwards an answer only if it belongs to the latest call of a mirror that still exists.
 core::object_store::list_callback
 if_current(const std::shared_ptr<std::uint64_t>& newest, core::object_store::list_callback handler)
@@ -369,6 +390,7 @@
                  .era = watch_era_});
         }
     }
+    update.deltas = deltas_to(update.objects);
     if (apply(update.objects))
     {
         position_.version = std::max(position_.version, answer.version);
@@ -390,6 +412,8 @@
             log_older_content(object, known->second);
         }
     }
+    remove_superseded(answer.objects);
+    auto deltas = deltas_to(answer.objects);
     if (apply(answer.objects))
     {
         position_ = std::max(position_, {.era = watch_era_, .version = answer.version});
@@ -398,7 +422,8 @@
              .version = answer.version,
              .digest = digest(),
              .objects = std::move(answer.objects),
-             .era = watch_era_});
+             .era = watch_era_,
+             .deltas = std::move(deltas)});
         options_.changed();
     }
 }
@@ -469,7 +494,77 @@
     }
 }
 
-update_result object_mirror::offer(const object_update& update)
+std::map<std::string, object_delta>
+object_mirror::deltas_to(const std::vector<core::store_object>& changes) const
+{
+    std::map<std::string, object_delta> deltas;
+    for (const core::store_object& change : changes)
+    {
+        const auto known = objects_.find(change.key);
+        const bool large =
+            known != objects_.end() && change.is_newer_than(known->second) &&
+            std::min(known->second.value.size(), change.value.size()) >= least_delta_bytes;
+        if (!large)
+        {
+            continue;
+        }
+        if (auto delta = wire::encode_delta(known->second.value, change.value))
+        {
+            deltas.emplace(
+                change.key,
+                object_delta{.base = known->second.position(), .bytes = std::move(*delta)});
+        }
+    }
+    return deltas;
+}
+
+bool object_mirror::restore_values(object_update& update) const
+{
+    bool complete = true;
+    std::erase_if(
+        update.objects,
+        [&](core::store_object& object)
+        {
+            const auto delta = update.deltas.find(object.key);
+            if (delta == update.deltas.end() || !object.value.empty())
+            {
+                return false;
+            }
+            const auto known = objects_.find(object.key);
+            const bool is_known = known != objects_.end();
+            if (is_known && !object.is_newer_than(known->second))
+            {
+                return true;
+            }
+            auto value =
+                is_known && known->second.position() == delta->second.base
+                    ? wire::apply_delta(
+                          known->second.value, delta->second.bytes, wire::max_envelope_bytes)
+                    : leaf::result<std::string>(std::string());
+            if (!value || value->empty())
+            {
+                complete = false;
+                return true;
+            }
+            object.value = std::move(*value);
+            return false;
+        });
+    return complete;
+}
+
+update_result object_mirror::offer(const object_update& offered)
+{
+    if (offered.deltas.empty())
+    {
+        return apply_update(offered);
+    }
+    object_update update = offered;
+    const bool complete = restore_values(update);
+    const update_result result = apply_update(update);
+    return complete ? result : update_result::gap;
+}
+
+update_result object_mirror::apply_update(const object_update& update)
 {
     const bool older = is_listed() && update.position() <= position_;
     const bool builds_on_unknown = !update.whole && (!is_listed() || update.era != position_.era);
--- a/packages/entry/tests/news/news_spread_test.cpp
+++ b/packages/entry/tests/news/news_spread_test.cpp
@@ -8,7 +8,7 @@
 
 // Guards against changes of a large configuration that fill the links between instances and come
 // into force seconds after their acknowledgement.
-TEST_CASE("a change of a large configuration reaches all instances in time", "[!mayfail]")
+TEST_CASE("a change of a large configuration reaches all instances in time")
 {
     struct row
     {
