Tests: an answer with the status 000 reaches no caller

It cannot happen here: check_response_head takes three digits from 100 to 599, and anything else is a lost answer. The test passes on the code before (14 statuses, both versions of HTTP, POST and GET, with and without an interim answer before).

--- a/packages/entry/tests/http/target_answers_test.cpp
+++ b/packages/entry/tests/http/target_answers_test.cpp
@@ -142,6 +142,33 @@
     CHECK(fixture.asked.size() == 1);
 }
 
+// Guards against a caller that gets a status which a target in trouble made up, such as 000.
+TEST_CASE("an answer whose status is none is a lost answer")
+{
+    const std::string status = GENERATE(values<std::string>(
+        {"000", "001", "099", "600", "999", "20", "2000", "0x1", "-20", "+20", " 200", "2 0", "",
+         "abc"}));
+    const std::string version = GENERATE(values<std::string>({"HTTP/1.1 ", "HTTP/1.0 "}));
+    const bool after_interim = GENERATE(false, true);
+    INFO(version << status << (after_interim ? ", after an interim answer" : ""));
+    instance_fixture fixture;
+    scripted_target bad(
+        fixture.loop, {.answer = (after_interim ? "HTTP/1.1 100 Continue\r\n\r\n" : "") + version +
+                                 status + " No\r\nContent-Length: 2\r\n\r\nno"});
+    scripted_target good(fixture.loop, {});
+
+    fixture.grant({bad.address()});
+    const std::string response = fixture.ask(instance_fixture::request("POST"));
+    CHECK(status_of(response) == 502);
+    CHECK(field_of(response, "catkintally-outcome") == "unknown");
+    REQUIRE(fixture.completed.size() == 1);
+    CHECK(fixture.completed[0].first.outcome == lost);
+
+    fixture.grant({bad.address(), good.address()});
+    CHECK(status_of(fixture.ask(instance_fixture::request("GET"))) == 200);
+    CHECK(good.requests == 1);
+}
+
 // Guards against an idempotent request that fails after one attempt or is retried on the failed
 // target, and against "not run" being reported after an attempt that may have run.
 TEST_CASE("an idempotent request is retried on another target")
