Heads: each byte is scanned once for the end of the head

Memory was bounded already (endless_answers_test). But a head that arrives in many small parts was searched from its start with each part, so that its cost grew with the square of its length: with 100 endless heads at once all of an instance's time went there, and its callers ran into their deadlines.

head_end_scanner remembers where the search stopped. Requests of callers are read with it, too: the same cause, bounded there by the smaller limit of their heads.

--- a/packages/entry/include/catkintally/entry/http/http_head.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_head.hpp
@@ -39,8 +39,9 @@
 /// these, so the next hop could read such a message differently.
 [[nodiscard]] std::optional<http_head> parse_http_head(std::string_view text);
 
-/// Offset of the first byte after the first empty line, or npos while the head is incomplete.
-[[nodiscard]] std::size_t find_head_end(std::string_view text);
+/// Offset of the first byte after the first empty line, or npos while the head is incomplete. Line
+/// ends before `from` are not looked at.
+[[nodiscard]] std::size_t find_head_end(std::string_view text, std::size_t from = 0);
 
 /// Reads the framing fields. A Content-Length that is not a plain decimal number is counted but has
 /// no value.
--- a/packages/entry/include/catkintally/entry/http/request_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_reader.hpp
@@ -3,6 +3,7 @@
 #include <catkintally/core/table/caller_limits.hpp>
 #include <catkintally/entry/http/body_reader.hpp>
 #include <catkintally/entry/http/caller_request.hpp>
+#include <catkintally/entry/http/head_end_scanner.hpp>
 #include <catkintally/entry/http/read_state.hpp>
 #include <catkintally/entry/http/request_check.hpp>
 
@@ -56,6 +57,7 @@
     read_state read_body(evbuffer* input);
 
     std::shared_ptr<body_budget> budget_;
+    head_end_scanner head_end_;
     std::optional<body_reader> body_;
     /// The body is complete and the request can be taken.
     bool complete_ = false;
--- a/packages/entry/include/catkintally/entry/http/response_reader.hpp
+++ b/packages/entry/include/catkintally/entry/http/response_reader.hpp
@@ -2,6 +2,7 @@
 
 #include <catkintally/core/fleet/admission_gateway.hpp>
 #include <catkintally/entry/http/body_reader.hpp>
+#include <catkintally/entry/http/head_end_scanner.hpp>
 #include <catkintally/entry/http/read_state.hpp>
 
 #include <cstddef>
@@ -70,6 +71,7 @@
     read_state read_body(evbuffer* input);
 
     response_reader_options options_;
+    head_end_scanner head_end_;
     std::optional<body_reader> body_;
     std::shared_ptr<core::stored_answer> response_;
     std::string error_;
--- a/packages/entry/src/http/http_head.cpp
+++ b/packages/entry/src/http/http_head.cpp
@@ -74,9 +74,9 @@
     return number;
 }
 
-std::size_t find_head_end(std::string_view text)
+std::size_t find_head_end(std::string_view text, std::size_t from)
 {
-    for (auto line_end = text.find('\n'); line_end != std::string_view::npos;
+    for (auto line_end = text.find('\n', from); line_end != std::string_view::npos;
          line_end = text.find('\n', line_end + 1))
     {
         const auto rest = text.substr(line_end + 1);
--- a/packages/entry/src/http/request_reader.cpp
+++ b/packages/entry/src/http/request_reader.cpp
@@ -77,7 +77,7 @@
 {
     skip_blank_lines(input);
     const std::string_view text = contiguous_text(input);
-    const auto end = find_head_end(text);
+    const auto end = head_end_.find(text);
     if (end > limits.header_bytes && text.size() > limits.header_bytes)
     {
         return refuse(request_error::head_too_large);
--- a/packages/entry/src/http/response_reader.cpp
+++ b/packages/entry/src/http/response_reader.cpp
@@ -65,7 +65,7 @@
 read_state response_reader::read_head(evbuffer* input)
 {
     const std::string_view text = contiguous_text(input);
-    const auto end = find_head_end(text);
+    const auto end = head_end_.find(text);
     if (end > options_.header_bytes && text.size() > options_.header_bytes)
     {
         return refuse("response head exceeds the size limit");
--- a/packages/entry/tests/http/endless_answers_test.cpp
+++ b/packages/entry/tests/http/endless_answers_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +25,20 @@
 constexpr std::size_t body_memory_bytes = memory_mb / 4 << 20U;
 constexpr std::size_t socket_buffer_bytes = 16 << 20U;
 
+/// What one connection may hold of a head and of the parts of a body that were not read yet, here
+/// and at the scripted target.
+constexpr std::size_t connection_bytes = 256 << 10U;
+
+/// Memory of this process.
+std::size_t resident_bytes()
+{
+    std::ifstream statistics("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statistics >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 struct endless_row
 {
     std::string name;
@@ -117,6 +134,39 @@
     }
 }
 
+// Guards against memory that grows with the number of endless answers: one instance has connections
+// to hundreds of targets.
+TEST_CASE("many endless answers at once use limited memory")
+{
+    constexpr std::size_t caller_count = 100;
+    const auto row = GENERATE(from_range(endless_rows()));
+    INFO(row.name);
+    instance_fixture fixture(
+        [](auto& values) { values.instance.memory_mb = memory_mb; }, close_delimited());
+    scripted_target endless(
+        fixture.loop, {.answer = row.first_text, .endless = row.repeated_text, .hold = true});
+    fixture.grant({endless.address()});
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (std::size_t index = 0; index < caller_count; ++index)
+    {
+        callers.push_back(std::make_unique<raw_caller>(fixture.loop, fixture.self->front().port()));
+        callers.back()->send(instance_fixture::request("POST"));
+    }
+    fixture.run_until([&] { return endless.requests == caller_count; });
+    const std::size_t before = resident_bytes();
+    endless.release();
+    for (const auto& caller : callers)
+    {
+        CHECK(status_of(response_to(fixture, *caller)) == 502);
+    }
+    // The target's own copies of what it sends are in this process, too.
+    CHECK(resident_bytes() < before + body_memory_bytes + caller_count * connection_bytes);
+    fixture.run_until([&] { return endless.closed_by_peer == caller_count; });
+    scripted_target good(fixture.loop, {});
+    fixture.grant({good.address()});
+    CHECK(status_of(fixture.ask(instance_fixture::request("POST"))) == 200);
+}
+
 // Guards against unbounded buffering on an idle connection on which a target sends without end: no
 // request reads there, so the bytes would accumulate.
 TEST_CASE("unsolicited bytes on an idle connection do not accumulate")
