News: an instance whose neighbours have all fallen silent dials others

Machines that lose power leave their links open. An instance whose neighbours were all among them heard no change until it turned to the store after 1.5 s, and then had to read all of it: 1 MB takes 840 ms at 10 Mbit/s.

Cause: a link was replaced only when it had ended, which takes 5 s of unacknowledged bytes, or the return of the other machine. Class of fault: silence taken for nothing new.

After 0.4 s without a message an instance sends its neighbours an empty sample, which those that live do as well; after 1 s it dials three others, four times at most (event 6007), and keeps these rather than the silent ones.

--- a/packages/entry/include/catkintally/entry/news/gossip_node.hpp
+++ b/packages/entry/include/catkintally/entry/news/gossip_node.hpp
@@ -176,6 +176,12 @@
     [[nodiscard]] wire::reader_word_data make_reader_status(wire::reader_state state);
     [[nodiscard]] wire::payloadUnion known_state_message();
     void exchange_peers();
+    /// Dials the instances in `neighbours_`, and no others.
+    void dial_neighbours();
+    /// Dials others when no neighbour has sent anything for a while: all of them may have lost
+    /// power, which their links do not show.
+    void check_silence();
+    void dial_others();
 
     gossip_node_options options_;
     peer_directory peers_;
@@ -192,7 +198,11 @@
     core::fleet_size_estimator size_estimator_;
     /// Neighbours may lack part of the current size estimate; it is broadcast at the next interval.
     bool size_estimate_changed_ = true;
+    core::time_point last_received_;
+    /// Times that further instances were dialed since then.
+    std::size_t silence_dials_ = 0;
     core::timer_id exchange_timer_ = 0;
+    core::timer_id silence_timer_ = 0;
     core::timer_id size_estimate_timer_ = 0;
 };
 
--- a/packages/entry/include/catkintally/entry/news/peer_directory.hpp
+++ b/packages/entry/include/catkintally/entry/news/peer_directory.hpp
@@ -43,6 +43,10 @@
     /// those in `kept` first, then random ones. Seeds are added if there are fewer than two.
     [[nodiscard]] std::vector<std::string> choose_neighbours(const std::vector<std::string>& kept);
 
+    /// Addresses of up to `count` instances, chosen at random from those that are not in `known`.
+    [[nodiscard]] std::vector<std::string>
+    choose_others(std::size_t count, const std::vector<std::string>& known);
+
     /// Up to `count` instances, chosen at random.
     [[nodiscard]] std::vector<live_peer> sample(std::size_t count);
 
--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -28,6 +28,21 @@
 /// Delay of the exchange that follows the one at start: time for the first links to come up.
 constexpr auto first_exchange_delay = milliseconds(500);
 
+/// Interval at which the time without a message from any neighbour is checked.
+constexpr auto silence_check_interval = milliseconds(200);
+
+/// Silence after which neighbours are sent an empty sample. One that is alive does the same, so a
+/// longer silence shows that none is.
+constexpr auto keep_alive_silence = milliseconds(400);
+
+/// Silence after which others are dialed. An instance turns to the store after 1.5 s without a
+/// word.
+constexpr auto dial_silence = std::chrono::seconds(1);
+
+/// Instances that are dialed in each attempt, and attempts for each silence.
+constexpr std::size_t silence_dial_count = 3;
+constexpr std::size_t max_silence_dials = 4;
+
 /// Maximum number of addresses in one peer sample.
 constexpr std::size_t sample_size = 16;
 
@@ -119,6 +134,7 @@
 gossip_node::~gossip_node()
 {
     options_.timers->cancel(exchange_timer_);
+    options_.timers->cancel(silence_timer_);
     options_.timers->cancel(size_estimate_timer_);
 }
 
@@ -130,6 +146,8 @@
     }
     exchange_peers();
     exchange_size_estimates();
+    last_received_ = options_.timers->now();
+    check_silence();
     return true;
 }
 
@@ -215,14 +233,7 @@
         neighbours_, [&](const std::string& address)
         { return std::find(linked.begin(), linked.end(), address) == linked.end(); });
     neighbours_ = peers_.choose_neighbours(neighbours_);
-    core::view dialed;
-    for (const std::string& address : neighbours_)
-    {
-        core::member neighbour;
-        neighbour.peer_address = address;
-        dialed.members.push_back(std::move(neighbour));
-    }
-    network_.set_members(dialed);
+    dial_neighbours();
 
     wire::peer_sample_data sample;
     for (const live_peer& each : peers_.sample(sample_size))
@@ -247,6 +258,47 @@
         [this] { exchange_peers(); });
 }
 
+void gossip_node::dial_neighbours()
+{
+    core::view dialed;
+    for (const std::string& address : neighbours_)
+    {
+        core::member neighbour;
+        neighbour.peer_address = address;
+        dialed.members.push_back(std::move(neighbour));
+    }
+    network_.set_members(dialed);
+}
+
+void gossip_node::check_silence()
+{
+    silence_timer_ =
+        options_.timers->schedule_after(silence_check_interval, [this] { check_silence(); });
+    const auto silence = options_.timers->now() - last_received_;
+    if (silence >= keep_alive_silence)
+    {
+        network_.send_to_all(wire::make_message(wire::peer_sample_data()), {});
+    }
+    if (silence >= dial_silence && silence_dials_ < max_silence_dials)
+    {
+        ++silence_dials_;
+        dial_others();
+    }
+}
+
+void gossip_node::dial_others()
+{
+    auto known = network_.linked_addresses();
+    known.insert(known.end(), neighbours_.begin(), neighbours_.end());
+    const auto others = peers_.choose_others(silence_dial_count, known);
+    runtime::log_event(
+        runtime::event_id::neighbours_silent, {{"neighbours", std::to_string(neighbours_.size())},
+                                               {"dialed", std::to_string(others.size())}});
+    // First, so that the next exchange keeps them rather than the silent ones.
+    neighbours_.insert(neighbours_.begin(), others.begin(), others.end());
+    dial_neighbours();
+}
+
 void gossip_node::broadcast_update(const object_update& update)
 {
     if (!update.whole)
@@ -400,10 +452,12 @@
 
 void gossip_node::receive(const core::member& from, const wire::payloadUnion& message)
 {
+    last_received_ = options_.timers->now();
+    silence_dials_ = 0;
     peers_.record_alive(
         {.address = from.peer_address,
          .failure_domain = from.failure_domain,
-         .alive_at = options_.timers->now()});
+         .alive_at = last_received_});
     switch (message.type)
     {
     case wire::payload::news_update:
--- a/packages/entry/src/news/peer_directory.cpp
+++ b/packages/entry/src/news/peer_directory.cpp
@@ -118,6 +118,21 @@
     return chosen;
 }
 
+std::vector<std::string>
+peer_directory::choose_others(std::size_t count, const std::vector<std::string>& known)
+{
+    std::vector<std::string> chosen;
+    for (const live_peer& each : shuffled())
+    {
+        const bool is_known = std::find(known.begin(), known.end(), each.address) != known.end();
+        if (!is_known && chosen.size() < count)
+        {
+            chosen.push_back(each.address);
+        }
+    }
+    return chosen;
+}
+
 std::size_t peer_directory::near_instances() const
 {
     return 1 +
--- a/packages/entry/tests/news/peer_directory_test.cpp
+++ b/packages/entry/tests/news/peer_directory_test.cpp
@@ -110,3 +110,17 @@
     CHECK(directory.instances() == 2);
     CHECK(directory.sample(5).at(0).address == "b");
 }
+
+// Guards against an instance that dials its silent neighbours once more instead of others.
+TEST_CASE("other instances than the known ones are chosen")
+{
+    peer_directory directory("self", "d1", {}, 5);
+    for (const char* address : {"a", "b", "c", "d"})
+    {
+        directory.record_alive(peer(address, "d1"));
+    }
+    const auto chosen = directory.choose_others(3, {"b", "x"});
+    CHECK(std::set(chosen.begin(), chosen.end()) == std::set<std::string>{"a", "c", "d"});
+    CHECK(directory.choose_others(1, {"b"}).size() == 1);
+    CHECK(directory.choose_others(3, {"a", "b", "c", "d"}).empty());
+}
