Reader election: instances with fast links read the store first

When all readers are lost, any instance could be the first to read the store. One with 10 Mbit/s and 0.07 of a core takes a second for a configuration of 760 KB; the others wait half a second for it, and then all read, so that their links are full when the news arrive.

Cause: the same as that of the store's deadline, a fixed time for lists whose size follows from the configuration. Waiting longer is no remedy, since the store may answer the first call of an instance and none of its lists.

Instances with 100 Mbit/s or more (setting instance.link_mbps, from the platform) now draw their delay in the first 100 ms of the 250, the slow ones in the rest; without the setting nothing changes, and the last one still tries within 250 ms.

--- a/packages/core/include/catkintally/core/news/reader_election.hpp
+++ b/packages/core/include/catkintally/core/news/reader_election.hpp
@@ -17,6 +17,14 @@
 
 using wire::reader_state;
 
+/// How long an instance's link takes for a large configuration, compared with what others may have.
+enum class link_speed : std::uint8_t
+{
+    unknown,
+    slow,
+    fast
+};
+
 /// Fixed inputs of a reader_election.
 struct reader_election_options
 {
@@ -35,6 +43,10 @@
     /// Upper bound of the random delay after which an instance with a stale configuration starts to
     /// read the store. The delay lets the first one that reads inform the others.
     duration takeover_spread = std::chrono::milliseconds(250);
+    /// Of the instances with a stale configuration, those with a fast link draw delays in the first
+    /// part of that time and those with a slow one in the rest: a configuration of 1 MB takes 840
+    /// ms at 10 Mbit/s.
+    link_speed speed = link_speed::unknown;
     /// Upper bound of the same delay for an instance that is starting. Longer, because all
     /// instances may start together, and their links need some hundred milliseconds to come up
     /// before the first reader can inform the others.
@@ -145,6 +157,8 @@
     /// Random delay of at most `span`, distributed so that only a few of many instances draw a
     /// short one.
     [[nodiscard]] duration suppression_delay(duration span);
+    /// Delay before an instance with a stale configuration reads the store.
+    [[nodiscard]] duration takeover_delay();
 
     reader_election_options options_;
     split_mix random_;
--- a/packages/core/src/news/reader_election.cpp
+++ b/packages/core/src/news/reader_election.cpp
@@ -39,6 +39,10 @@
 constexpr duration min_retry_delay = std::chrono::seconds(2);
 constexpr duration max_retry_delay = std::chrono::seconds(3);
 
+/// Part of the takeover's time in which instances with a fast link try the store. Some link
+/// latencies, so that the first of them can inform the others.
+constexpr duration fast_link_spread = milliseconds(100);
+
 /// Upper bound of the random delay before a missing second reader is replaced.
 constexpr duration max_replacement_delay = std::chrono::seconds(2);
 
@@ -106,6 +110,21 @@
     return std::chrono::duration_cast<duration>(span * part);
 }
 
+duration reader_election::takeover_delay()
+{
+    const duration fast_spread = std::min(fast_link_spread, options_.takeover_spread);
+    switch (options_.speed)
+    {
+    case link_speed::fast:
+        return suppression_delay(fast_spread);
+    case link_speed::slow:
+        return fast_spread + suppression_delay(options_.takeover_spread - fast_spread);
+    case link_speed::unknown:
+        break;
+    }
+    return suppression_delay(options_.takeover_spread);
+}
+
 bool reader_election::is_recent(const std::optional<time_point>& when) const
 {
     return when && options_.timers->now() - *when < options_.stale_after;
@@ -350,7 +369,7 @@
     case need::none:
         return;
     case need::updates:
-        delay = last_reached_      ? suppression_delay(options_.takeover_spread)
+        delay = last_reached_      ? takeover_delay()
                 : options_.is_seed ? random_within(max_seed_start_delay)
                                    : suppression_delay(options_.start_spread);
         break;
--- a/packages/core/tests/news/reader_lists_test.cpp
+++ b/packages/core/tests/news/reader_lists_test.cpp
@@ -120,3 +120,47 @@
     timers.advance(250ms);
     CHECK(reads == 1);
 }
+
+// Guards against a configuration of 1 MB that an instance with 10 Mbit/s reads for most of a
+// second, where others could read it in a tenth of that, after all readers were lost.
+TEST_CASE("instances with fast links are the first to read the store")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t size;
+        std::size_t fast;
+        bool fast_are_lost;
+    };
+    const auto each = GENERATE(values<row>(
+        {{"few fast ones", 219, 8, false},
+         {"one fast one", 219, 1, false},
+         {"many", 471, 100, false},
+         {"a small fleet", 13, 2, false},
+         {"only fast ones", 127, 127, false},
+         {"none", 127, 0, false},
+         {"all fast ones are lost, too", 219, 8, true}}));
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        INFO(each.name << ", seed " << seed);
+        fleet simulation(
+            each.size, duration::zero(), 0, seed,
+            [&](std::size_t index)
+            { return index < each.fast ? link_speed::fast : link_speed::slow; });
+        simulation.run(5s);
+        simulation.max_age = {};
+        simulation.started.clear();
+        simulation.crash_readers(each.fast_are_lost ? each.fast : 0);
+        const auto is_fast = [&](const std::string& name)
+        { return std::stoul(name.substr(1)) < each.fast && !simulation.crashed.contains(name); };
+        bool fast_left = false;
+        for (std::size_t index = 0; index < each.fast; ++index)
+        {
+            fast_left = fast_left || is_fast("i" + std::to_string(index));
+        }
+        simulation.run(4s);
+        REQUIRE_FALSE(simulation.started.empty());
+        CHECK(is_fast(simulation.started.front()) == fast_left);
+        CHECK(simulation.max_age < 2s);
+    }
+}
--- a/packages/core/tests/news/support/reader_fleet.hpp
+++ b/packages/core/tests/news/support/reader_fleet.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/time/manual_timer_service.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -26,7 +27,8 @@
         std::size_t size,
         duration linked_within = duration::zero(),
         std::size_t seeds = 0,
-        std::uint64_t seed = 0)
+        std::uint64_t seed = 0,
+        const std::function<link_speed(std::size_t)>& speed_of = {})
     {
         for (std::size_t index = 0; index < size; ++index)
         {
@@ -39,6 +41,7 @@
                 .timers = &timers,
                 .self = added.name,
                 .seed = seed * 10'000 + index + 1,
+                .speed = speed_of ? speed_of(index) : link_speed::unknown,
                 .is_seed = index < seeds,
                 .instances = [size] { return size; },
                 .on_reading_changed = [this, &added](bool reading) { set_reading(added, reading); },
@@ -141,6 +144,8 @@
     double price = 0;
     /// Number of times an instance started to read the store.
     int reader_starts = 0;
+    /// Instances that started to read the store, in order.
+    std::vector<std::string> started;
     /// Longest time without a reader's report of success at any live instance.
     duration max_age{};
 
@@ -164,6 +169,7 @@
         if (reading)
         {
             ++reader_starts;
+            started.push_back(self.name);
             self.answered = false;
             self.next_call = timers.schedule_after(5ms, [this, &self] { call(self); });
         }
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -33,6 +33,16 @@
     return product_target_dialect();
 }
 
+/// Least bandwidth of a fast link: a configuration of 1 MB takes 80 ms.
+constexpr double fast_link_mbps = 100;
+
+core::link_speed speed_of(double link_mbps)
+{
+    return link_mbps == 0                ? core::link_speed::unknown
+           : link_mbps >= fast_link_mbps ? core::link_speed::fast
+                                         : core::link_speed::slow;
+}
+
 /// Fills in what the settings leave to the platform.
 runtime::settings
 with_platform_limits(runtime::settings values, const platform::platform_limits& limits)
@@ -116,6 +126,7 @@
         .timers = &timers_,
         .self = core::to_text(self.id),
         .seed = random_number(),
+        .speed = speed_of(settings_.instance.link_mbps),
         .start_spread = milliseconds(settings_.peers.start_spread_ms),
         .is_seed = std::find(
                        settings_.peers.seeds.begin(), settings_.peers.seeds.end(),
