--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -63,15 +63,18 @@
 /// instance's share of fleet-wide limits follows from it.
 constexpr core::fleet_size assumed_fleet_size = {.near = 250, .far = 2'250};
 
-/// False for an update that no instance sends: without a version, or with objects of another kind.
+/// False for an update that no instance sends: without a version, with everything and yet relative
+/// to what is known, or with objects of another kind.
 bool is_well_formed(const object_update& update)
 {
-    return update.version != 0 && std::all_of(
-                                      update.objects.begin(), update.objects.end(),
-                                      [&](const core::store_object& object) {
-                                          return object.key.size() > update.prefix.size() &&
-                                                 object.key.starts_with(update.prefix);
-                                      });
+    const bool contradicts_itself = update.whole && !update.deltas.empty();
+    return update.version != 0 && !contradicts_itself &&
+           std::all_of(
+               update.objects.begin(), update.objects.end(),
+               [&](const core::store_object& object) {
+                   return object.key.size() > update.prefix.size() &&
+                          object.key.starts_with(update.prefix);
+               });
 }
 
 /// Maximum number of limits or demand reports in one message, about 64 KB.
@@ -291,6 +294,10 @@
     auto known = network_.linked_addresses();
     known.insert(known.end(), neighbours_.begin(), neighbours_.end());
     const auto others = peers_.choose_others(silence_dial_count, known);
+    if (others.empty())
+    {
+        return;
+    }
     runtime::log_event(
         runtime::event_id::neighbours_silent, {{"neighbours", std::to_string(neighbours_.size())},
                                                {"dialed", std::to_string(others.size())}});
--- a/packages/entry/tests/news/gossip_node_test.cpp
+++ b/packages/entry/tests/news/gossip_node_test.cpp
@@ -478,6 +478,8 @@
         std::uint64_t version;
         bool whole;
         std::vector<const char*> keys;
+        /// The objects come as differences from what is known.
+        bool as_delta = false;
     };
     const auto send = [&](const row& each)
     {
@@ -490,6 +492,10 @@
             data.objects.push_back(std::make_unique<wire::news_object_data>());
             data.objects.back()->key = key;
             data.objects.back()->value = std::string(100'000, '[');
+            if (each.as_delta)
+            {
+                data.objects.back()->delta = {1};
+            }
         }
         sender.send(*linked, wire::make_message(std::move(data)));
     };
@@ -500,6 +506,7 @@
         send({.version = 1, .whole = whole, .keys = {"k/"}});
         send({.version = 1, .whole = whole, .keys = {""}});
     }
+    send({.version = 1, .whole = true, .keys = {"k/a"}, .as_delta = true});
     send({.version = 5, .whole = true, .keys = {"k/a"}});
     CHECK(fixture.wait_for_version(5));
     REQUIRE(receiver.known);
