Settings: a key may come from the environment; the link's bandwidth does

So the bandwidth comes by 'env' of the deploy file instead: a key that the file leaves out is read from CATKINTALLY_<SECTION>_<KEY>. An empty variable, which the platform leaves where it has no figure, counts as none. settings_loader_test.

--- a/packages/runtime/include/catkintally/runtime/settings/settings_loader.hpp
+++ b/packages/runtime/include/catkintally/runtime/settings/settings_loader.hpp
@@ -5,7 +5,9 @@
 #include <boost/leaf.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <istream>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -41,12 +43,16 @@
 /// Exit status of every program whose settings or arguments are refused.
 constexpr int exit_bad_settings = 2;
 
-/// Reads and checks an INI file. A failure carries a settings_error.
+/// Text of an environment variable; nothing if it is not set.
+using environment_hook = std::function<std::optional<std::string>(const std::string& name)>;
+
+/// Reads and checks an INI file. A key that it leaves out may come from the environment variable
+/// CATKINTALLY_<SECTION>_<KEY>. A failure carries a settings_error.
 [[nodiscard]] boost::leaf::result<settings> load_settings(const std::string& path);
 
 /// As load_settings, from an open stream; `file` is used in messages.
 [[nodiscard]] boost::leaf::result<settings>
-read_settings(std::istream& in, const std::string& file);
+read_settings(std::istream& in, const std::string& file, const environment_hook& environment = {});
 
 /// Prints all settings as an INI file with help, units, ranges and defaults. Secrets are masked.
 void print_settings(std::ostream& out, const settings& values);
--- a/packages/runtime/src/settings/settings_loader.cpp
+++ b/packages/runtime/src/settings/settings_loader.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -195,6 +196,16 @@
     return joined;
 }
 
+/// Name of the environment variable of a key.
+std::string environment_name(std::string_view section, std::string_view key)
+{
+    std::string name = "CATKINTALLY_" + std::string(section) + '_' + std::string(key);
+    std::transform(
+        name.begin(), name.end(), name.begin(),
+        [](char c) { return c >= 'a' && c <= 'z' ? static_cast<char>(c - 'a' + 'A') : c; });
+    return name;
+}
+
 } // namespace
 
 std::string settings_error::message() const
@@ -218,7 +229,8 @@
     return place + "bad value, expected " + detail;
 }
 
-leaf::result<settings> read_settings(std::istream& in, const std::string& file)
+leaf::result<settings>
+read_settings(std::istream& in, const std::string& file, const environment_hook& environment)
 {
     // Parse the text.
     boost::property_tree::ptree tree;
@@ -249,11 +261,17 @@
     {
         const auto section = tree.find(std::string(row.section));
         const auto* keys = section == tree.not_found() ? nullptr : &section->second;
-        const auto found =
-            keys == nullptr
-                ? boost::optional<std::string>()
-                : keys->get_optional<std::string>(
-                      boost::property_tree::ptree::path_type(std::string(row.key), '\0'));
+        auto found = keys == nullptr
+                         ? boost::optional<std::string>()
+                         : keys->get_optional<std::string>(
+                               boost::property_tree::ptree::path_type(std::string(row.key), '\0'));
+        if (!found && environment)
+        {
+            if (const auto text = environment(environment_name(row.section, row.key)))
+            {
+                found = *text;
+            }
+        }
         if (!found && !row.required)
         {
             continue;
@@ -285,7 +303,15 @@
             .key = {},
             .detail = {}});
     }
-    return read_settings(in, path);
+    return read_settings(
+        in, path,
+        [](const std::string& name)
+        {
+            // An empty variable is one that the hosting platform could not fill in.
+            const char* text = std::getenv(name.c_str());
+            return text == nullptr || *text == '\0' ? std::nullopt
+                                                    : std::optional<std::string>(text);
+        });
 }
 
 void print_settings(std::ostream& out, const settings& values)
--- a/packages/runtime/tests/settings/settings_loader_test.cpp
+++ b/packages/runtime/tests/settings/settings_loader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <sstream>
 
 using namespace catkintally::runtime;
@@ -145,3 +146,25 @@
         [](const settings_error& error) { return error.message(); }, [] { return std::string(); });
     CHECK(line == "/nonexistent/x.ini: cannot be read");
 }
+
+// Guards against a figure of the machine that gets lost on its way from the hosting platform, and
+// against one that replaces what the file says.
+TEST_CASE("a key that the file leaves out is taken from the environment")
+{
+    struct row
+    {
+        const char* line;
+        std::optional<std::string> variable;
+        double link_mbps;
+    };
+    const auto each = GENERATE(values<row>(
+        {{"", std::nullopt, 0}, {"", "200.0", 200}, {"link_mbps = 10\n", "200.0", 10}}));
+    std::istringstream in(
+        std::string("[instance]\n") + each.line +
+        "id = a1\nfailure_domain = east\n[platform]\naddresses = 127.0.0.1:1\n");
+    const auto environment = [&](const std::string& name)
+    { return name == "CATKINTALLY_INSTANCE_LINK_MBPS" ? each.variable : std::nullopt; };
+    const auto read = read_settings(in, "x.ini", environment);
+    REQUIRE(read);
+    CHECK(read->instance.link_mbps == each.link_mbps);
+}
