--- a/packages/entry/tests/news/silent_neighbours_test.cpp
+++ b/packages/entry/tests/news/silent_neighbours_test.cpp
@@ -64,7 +64,7 @@
 }
 
 /// Runs the loops for a moment of real time, in which messages on loopback arrive.
-void settle(std::vector<runtime::event_loop*> loops)
+void settle(const std::vector<runtime::event_loop*>& loops)
 {
     for (int round = 0; round < 3; ++round)
     {
