--- a/packages/entry/include/catkintally/entry/news/update_messages.hpp
+++ b/packages/entry/include/catkintally/entry/news/update_messages.hpp
@@ -12,4 +12,8 @@
 /// Reverses to_message().
 [[nodiscard]] object_update to_update(const wire::news_update_data& data);
 
+/// False for an update that no instance sends: without a version, with everything and yet relative
+/// to what is known, or with objects of another kind.
+[[nodiscard]] bool is_well_formed(const object_update& update);
+
 } // namespace catkintally::entry
--- a/packages/entry/src/news/gossip_node.cpp
+++ b/packages/entry/src/news/gossip_node.cpp
@@ -63,35 +63,9 @@
 /// instance's share of fleet-wide limits follows from it.
 constexpr core::fleet_size assumed_fleet_size = {.near = 250, .far = 2'250};
 
-/// False for an update that no instance sends: without a version, with everything and yet relative
-/// to what is known, or with objects of another kind.
-bool is_well_formed(const object_update& update)
-{
-    const bool contradicts_itself = update.whole && !update.deltas.empty();
-    return update.version != 0 && !contradicts_itself &&
-           std::all_of(
-               update.objects.begin(), update.objects.end(),
-               [&](const core::store_object& object) {
-                   return object.key.size() > update.prefix.size() &&
-                          object.key.starts_with(update.prefix);
-               });
-}
-
 /// Maximum number of limits or demand reports in one message, about 64 KB.
 constexpr std::size_t max_notice_entries = 512;
 
-wire::payloadUnion to_message(std::span<const core::demand_report> reports)
-{
-    wire::demand_notice_data data;
-    for (const core::demand_report& each : reports)
-    {
-        data.reports.emplace_back(
-            each.instance, each.incarnation, each.service, each.failure_domain, each.per_second,
-            each.sequence, to_milliseconds(each.age));
-    }
-    return wire::make_message(std::move(data));
-}
-
 /// Calls `send` for consecutive parts of the entries, each small enough for one message.
 template <typename Entry>
 void send_in_parts(
--- a/packages/entry/src/news/limit_messages.cpp
+++ b/packages/entry/src/news/limit_messages.cpp
@@ -1,4 +1,5 @@
 #include <catkintally/entry/news/limit_messages.hpp>
+#include <catkintally/entry/news/message_age.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
 
 #include <memory>
@@ -40,4 +41,16 @@
     return limit;
 }
 
+wire::payloadUnion to_message(std::span<const core::demand_report> reports)
+{
+    wire::demand_notice_data data;
+    for (const core::demand_report& each : reports)
+    {
+        data.reports.emplace_back(
+            each.instance, each.incarnation, each.service, each.failure_domain, each.per_second,
+            each.sequence, to_milliseconds(each.age));
+    }
+    return wire::make_message(std::move(data));
+}
+
 } // namespace catkintally::entry
--- a/packages/entry/src/news/update_messages.cpp
+++ b/packages/entry/src/news/update_messages.cpp
@@ -1,6 +1,7 @@
 #include <catkintally/entry/news/update_messages.hpp>
 #include <catkintally/wire/codec/make_message.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -69,4 +70,16 @@
     return update;
 }
 
+bool is_well_formed(const object_update& update)
+{
+    const bool contradicts_itself = update.whole && !update.deltas.empty();
+    return update.version != 0 && !contradicts_itself &&
+           std::all_of(
+               update.objects.begin(), update.objects.end(),
+               [&](const core::store_object& object) {
+                   return object.key.size() > update.prefix.size() &&
+                          object.key.starts_with(update.prefix);
+               });
+}
+
 } // namespace catkintally::entry
