Health path: a request with a route goes to a target

Cause: the callers' listener compared the path with its own health path for each host and method before the router was asked. On the users' platform the balancer checks another address, so the answer served nobody.

Change: a request is a health check on the callers' address only if it is GET or HEAD, no route covers it and no other health address is set.

--- a/packages/entry/include/catkintally/entry/http/http_frontend.hpp
+++ b/packages/entry/include/catkintally/entry/http/http_frontend.hpp
@@ -27,6 +27,8 @@
     std::function<void(pending_request&)> handle;
     /// Returns false to make the health check fail.
     std::function<bool()> healthy;
+    /// True if a request to the health path is a health check, and not a request to a target.
+    std::function<bool(const caller_request&)> is_health_check;
     /// Returns the next request id, for requests that are refused before `handle` receives them.
     std::function<std::string()> next_request_id;
     runtime::metrics_registry* metrics = nullptr;
--- a/packages/entry/include/catkintally/entry/http/request_handler.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_handler.hpp
@@ -55,6 +55,12 @@
     /// Handles one request; `call` is replied to exactly once.
     void handle(pending_request& call);
 
+    /// True if the table in force has a route for the request.
+    [[nodiscard]] bool has_route(const caller_request& request) const
+    {
+        return router_ && router_->find(request.host, request.path) != nullptr;
+    }
+
     /// A planned stop begins: refuses the waiting requests that may outlast the process.
     void begin_stop();
 
--- a/packages/entry/src/http/http_frontend.cpp
+++ b/packages/entry/src/http/http_frontend.cpp
@@ -240,7 +240,9 @@
         [this, key](const caller_response& response) { end_request(key, response); });
     pending_request& call = *owned;
     pending_requests_.emplace(key, std::move(owned));
-    if (call.request().path == health_path)
+    const caller_request& received = call.request();
+    if (received.path == health_path && (received.method == "GET" || received.method == "HEAD") &&
+        options_.is_health_check(received))
     {
         answer_health_check(call);
         return;
--- a/packages/entry/src/instance.cpp
+++ b/packages/entry/src/instance.cpp
@@ -131,6 +131,8 @@
                    .request_time = milliseconds(values.callers.request_time_ms)},
               .handle = [this](pending_request& call) { path_.handle(call); },
               .healthy = [this] { return is_healthy(); },
+              .is_health_check = [this](const caller_request& request)
+              { return settings_.admin.health_addresses.empty() && !path_.has_route(request); },
               .next_request_id = [this] { return path_.next_request_id(); },
               .metrics = &metrics_,
               .budget = budget_,
