Crashing requests: the platform's store has the record

Cause: crashes were kept in the processes and told to neighbours only, so that a restart of all forgot them, and attempts after quiet times went on without end.

Evidence: after the restart the count began anew at each instance; no instance had made a write call.

Change: from the second crash in a row on, the store has a record. An attempt after a quiet time is written there before it is made, under a condition, and there are two of them. If the store does not take a record, the second crash refuses the request, and no such attempt is made. Instances that begin to read the store read the records; writes that failed are repeated, and a reader writes what an outage has kept out.

--- a/packages/core/include/catkintally/core/admission/crash_history.hpp
+++ b/packages/core/include/catkintally/core/admission/crash_history.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,17 @@
     /// crashes. Returns true if any of them was not cleared before.
     bool answered(std::uint64_t fingerprint, time_point now);
 
+    /// Number of crashes in a row by the request.
+    [[nodiscard]] std::uint32_t crashes_in_row(std::uint64_t fingerprint) const;
+
+    /// Refuses a request before the usual number of crashes, because a further one could not be
+    /// recorded. Returns the record for the other instances; nothing if the request is refused
+    /// already or has been cleared.
+    [[nodiscard]] std::optional<crash_record> refuse(std::uint64_t fingerprint);
+
+    /// True if a target has responded to the request since all its known crashes, and there is one.
+    [[nodiscard]] bool is_cleared(std::uint64_t fingerprint) const;
+
     /// Crashes that have not been cleared, of requests that are not refused yet, to be sent to
     /// instances that start.
     [[nodiscard]] std::vector<target_crash> suspected() const;
--- a/packages/core/include/catkintally/core/admission/crash_records.hpp
+++ b/packages/core/include/catkintally/core/admission/crash_records.hpp
@@ -37,7 +37,8 @@
 
 /// Requests that have crashed several targets in a row. Such a request is refused as long as it
 /// keeps arriving at any instance. Once it has not arrived for a quiet time, one instance may send
-/// it once; the quiet time doubles with each further crash. A response of a target clears it.
+/// it once; the quiet time doubles with each further crash, and after `max_crashes` the request is
+/// not sent again. A response of a target clears it.
 class crash_records
 {
 public:
@@ -66,6 +67,10 @@
         time_point sent_at,
         time_point crashed_at);
 
+    /// Adds a record that the platform's store holds. The request counts as having arrived now, as
+    /// the time of its latest arrival is not known. Returns true if it was not refused before.
+    bool restore(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
+
     /// Merges a record of another instance.
     crash_record_news merge(const crash_record& received, time_point now);
 
@@ -77,6 +82,9 @@
 
     [[nodiscard]] bool contains(std::uint64_t fingerprint) const;
 
+    /// The record of the request, if there is one.
+    [[nodiscard]] std::optional<crash_record> find(std::uint64_t fingerprint) const;
+
     /// Time for which the request must not arrive before it may be sent again; zero if it is not
     /// known.
     [[nodiscard]] duration quiet_time(std::uint64_t fingerprint) const;
@@ -89,6 +97,11 @@
     /// Time between a claim and the attempt, in which all instances hear of the claim.
     static constexpr duration claim_time = std::chrono::milliseconds(500);
 
+    /// Crashes after which the request is not sent again. The platform's rules allow three attempts
+    /// after the third crash; the third one is left for an attempt that is under way while other
+    /// instances do not know of it.
+    static constexpr std::uint32_t max_crashes = 5;
+
     /// Maximum number of records.
     static constexpr std::size_t capacity = 1024;
 
--- a/packages/core/include/catkintally/core/admission/probing_gateway.hpp
+++ b/packages/core/include/catkintally/core/admission/probing_gateway.hpp
@@ -102,6 +102,19 @@
     /// Called with a record of a request that crashes targets, for the other instances; may be
     /// empty.
     std::function<void(const crash_record&)> announce_crash_record{};
+    /// Makes the platform's store hold at least `crashes` crashes of a request; calls `done` once,
+    /// with false if the store does not take the record now. May be empty, as the next two, if
+    /// records are kept in memory only.
+    std::function<void(
+        std::uint64_t fingerprint, std::uint32_t crashes, std::function<void(bool)> done)>
+        save_crash_record{};
+    /// Records one crash more than the store holds, at least `crashes`, before the request is sent
+    /// once more; calls `done` once, with true if this instance may send it.
+    std::function<void(
+        std::uint64_t fingerprint, std::uint32_t crashes, std::function<void(bool)> done)>
+        reserve_crash_attempt{};
+    /// A target has responded to a request of which the store may hold a record.
+    std::function<void(std::uint64_t fingerprint)> remove_crash_record{};
     /// Called when a request that was suspected of crashing targets was answered; may be empty.
     std::function<void(std::uint64_t fingerprint)> cleared{};
     /// Called for each decision; may be empty.
@@ -135,6 +148,10 @@
     /// The interface for the HTTP path; valid for the lifetime of this object.
     [[nodiscard]] admission_gateway gateway();
 
+    /// Applies a record that the platform's store holds. False if a target has responded to the
+    /// request since.
+    bool restore_crash_record(std::uint64_t fingerprint, std::uint32_t crashes);
+
     /// Records a crash that another instance observed; false if it is known already.
     bool note_crash(const target_crash& crash);
 
@@ -270,6 +287,12 @@
     /// instance may send it once.
     void check_for_crashes(request_id id);
     void refuse_crashing(request_id id);
+    /// Records the claimed attempt in the store, if there is one, and then sends the request.
+    void reserve_attempt(request_id id);
+    /// Writes the crashes of a request to the store, if there is one.
+    void save_crashes(std::uint64_t fingerprint);
+    /// A target has responded to the request.
+    void clear_suspicion(std::uint64_t fingerprint);
     void start_probe_round(request_id id);
     [[nodiscard]] usable_targets candidates(const pending_admission& admission) const;
     [[nodiscard]] std::vector<const target_row*>
--- a/packages/core/src/admission/crash_history.cpp
+++ b/packages/core/src/admission/crash_history.cpp
@@ -114,6 +114,32 @@
     return counted;
 }
 
+std::uint32_t crash_history::crashes_in_row(std::uint64_t fingerprint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found == suspects_.end() ? 0 : consecutive(found->second);
+}
+
+std::optional<crash_record> crash_history::refuse(std::uint64_t fingerprint)
+{
+    if (crashes_in_row(fingerprint) == 0 || refused_.contains(fingerprint))
+    {
+        return std::nullopt;
+    }
+    const target_crash& last = suspects_.at(fingerprint).back().crash;
+    refused_.note_crash(fingerprint, refusal_threshold, last.sent_at, last.crashed_at);
+    return refused_.find(fingerprint);
+}
+
+bool crash_history::is_cleared(std::uint64_t fingerprint) const
+{
+    if (refused_.contains(fingerprint) || crashes_in_row(fingerprint) > 0)
+    {
+        return false;
+    }
+    return suspects_.contains(fingerprint) || refused_.is_cleared(fingerprint, time_point::min());
+}
+
 std::vector<target_crash> crash_history::suspected() const
 {
     std::vector<target_crash> crashes;
--- a/packages/core/src/admission/crash_records.cpp
+++ b/packages/core/src/admission/crash_records.cpp
@@ -14,12 +14,10 @@
 
 using std::chrono::seconds;
 
-/// Quiet time of a request that has crashed three targets, and how often it doubles at most. The
-/// platform's rules allow three attempts after the third crash: the fourth one follows after a
-/// quarter of an hour at the earliest.
+/// Quiet time of a request that has crashed three targets, and how often it doubles at most.
 constexpr duration first_quiet_time = seconds(60);
 constexpr std::uint32_t first_crashes = 3;
-constexpr std::uint32_t max_doublings = 5;
+constexpr std::uint32_t max_doublings = 2;
 
 /// Minimum time between two announcements of arrivals of one request. A third of the shortest quiet
 /// time, so that one that is lost does not matter.
@@ -68,6 +66,30 @@
     return known_.contains(fingerprint);
 }
 
+std::optional<crash_record> crash_records::find(std::uint64_t fingerprint) const
+{
+    const auto found = known_.find(fingerprint);
+    return found == known_.end() ? std::nullopt : std::optional(found->second.record);
+}
+
+bool crash_records::restore(std::uint64_t fingerprint, std::uint32_t crashes, time_point now)
+{
+    const auto found = known_.find(fingerprint);
+    if (found != known_.end())
+    {
+        crash_record& record = found->second.record;
+        record.crashes = std::max(record.crashes, crashes);
+        return false;
+    }
+    // The processes may have ended between a crash and its record.
+    add({.fingerprint = fingerprint,
+         .crashes = std::max(crashes, first_crashes),
+         .crashed_at = now,
+         .arrived_at = now})
+        .announced_at = now;
+    return true;
+}
+
 bool crash_records::is_claim_open(const entry& known, time_point now)
 {
     return known.record.claimant != 0 && now - known.claimed_at < claim_lifetime;
@@ -83,7 +105,8 @@
     entry& known = found->second;
     const time_point previous =
         std::exchange(known.record.arrived_at, std::max(known.record.arrived_at, now));
-    const bool quiet = now - previous >= quiet_time(known.record);
+    const bool quiet =
+        known.record.crashes < max_crashes && now - previous >= quiet_time(known.record);
     if (!quiet && now - known.announced_at < announcement_interval)
     {
         return {.verdict = crash_verdict::refused, .announcement = {}};
--- a/packages/core/src/admission/probing_gateway.cpp
+++ b/packages/core/src/admission/probing_gateway.cpp
@@ -522,10 +522,7 @@
         shortage_.record_work(
             completed.target.first, completed.priority, report.service_time, completed.nearly_full);
         record_response(report);
-        if (note_answered(completed.fingerprint) && options_.cleared)
-        {
-            options_.cleared(completed.fingerprint);
-        }
+        clear_suspicion(completed.fingerprint);
         break;
     case completion_outcome::connection_lost:
         handle_connection_lost(completed, in_flight.size());
--- a/packages/core/src/admission/probing_gateway_losses.cpp
+++ b/packages/core/src/admission/probing_gateway_losses.cpp
@@ -166,10 +166,15 @@
             {
                 report_failure(key, target_failure::unreachable);
             }
-            if (crash.fingerprint != 0 && note_crash(crash) && options_.crashed)
+            if (crash.fingerprint == 0 || !note_crash(crash))
+            {
+                return;
+            }
+            if (options_.crashed)
             {
                 options_.crashed(crash);
             }
+            save_crashes(crash.fingerprint);
         });
 }
 
--- a/packages/entry/include/catkintally/entry/process/probing_process.hpp
+++ b/packages/entry/include/catkintally/entry/process/probing_process.hpp
@@ -4,6 +4,7 @@
 #include <catkintally/core/news/reader_election.hpp>
 #include <catkintally/entry/instance.hpp>
 #include <catkintally/entry/news/gossip_node.hpp>
+#include <catkintally/entry/process/crash_record_part.hpp>
 #include <catkintally/entry/process/quota_part.hpp>
 #include <catkintally/entry/process/shortage_metrics.hpp>
 #include <catkintally/entry/process/target_prober.hpp>
@@ -77,6 +78,7 @@
     std::unique_ptr<configuration_follower> follower_;
     std::unique_ptr<table_watcher> watcher_;
     /// With the follower only.
+    std::unique_ptr<crash_record_part> crash_records_;
     std::unique_ptr<core::reader_election> duty_;
     std::unique_ptr<gossip_node> news_;
     bool has_table_ = false;
--- a/packages/entry/src/process/probing_process.cpp
+++ b/packages/entry/src/process/probing_process.cpp
@@ -86,6 +86,8 @@
 {
     if (values.platform.configuration == runtime::platform_configuration::objects)
     {
+        crash_records_ = std::make_unique<crash_record_part>(crash_record_part_options{
+            .store = &store_, .timers = &timers_, .gateway = &gateway_, .seed = random_number()});
         make_follower();
         make_news();
     }
@@ -110,7 +112,12 @@
         .publish = [this](const auto& table) { use_table(table); },
         .updated = [this](const object_update& update) { news_->broadcast_update(update); },
         .on_call_result = [this](bool reached) { duty_->on_store_call(reached); },
-        .on_probed = [this] { duty_->on_store_probed(); },
+        .on_probed =
+            [this]
+        {
+            duty_->on_store_probed();
+            crash_records_->records().on_store_answered();
+        },
         .missing_entries =
             {.is_store_away = [this] { return duty_->is_store_away(); },
              .last_store_contact = [this] { return duty_->last_store_contact(); }}});
@@ -132,10 +139,20 @@
                        settings_.peers.seeds.begin(), settings_.peers.seeds.end(),
                        settings_.peers.address) != settings_.peers.seeds.end(),
         .instances = [this] { return news_->instances(); },
-        .on_reading_changed = [this](bool reading) { follower_->set_reading(reading); },
+        .on_reading_changed =
+            [this](bool reading)
+        {
+            crash_records_->records().set_reading(reading);
+            follower_->set_reading(reading);
+        },
         .announce = [this](wire::reader_state state) { news_->broadcast_reader_state(state); },
         .awaits_update = [this] { return news_->awaits_update(); },
-        .on_store_returned = [this] { follower_->note_store_returned(); }});
+        .on_store_returned =
+            [this]
+        {
+            follower_->note_store_returned();
+            crash_records_->records().on_store_returned();
+        }});
     news_ = std::make_unique<gossip_node>(gossip_node_options{
         .loop = &loop_,
         .timers = &timers_,
@@ -153,8 +170,12 @@
         .on_target_crash = [this](const core::target_crash& crash)
         { return gateway_.note_crash(crash); },
         .suspected_crashes = [this] { return gateway_.suspected_crashes(); },
-        .on_suspicion_cleared = [this](std::uint64_t fingerprint)
-        { return gateway_.note_answered(fingerprint); },
+        .on_suspicion_cleared =
+            [this](std::uint64_t fingerprint)
+        {
+            crash_records_->records().forget(fingerprint);
+            return gateway_.note_answered(fingerprint);
+        },
         .on_crash_record = [this](const core::crash_record& record)
         { return gateway_.merge_crash_record(record); },
         .crash_records = [this] { return gateway_.crash_records(); },
@@ -220,6 +241,14 @@
     {
         options.retry_slack = limits_.retry_slack;
         options.fleet = [this] { return news_->fleet(); };
+        options.save_crash_record =
+            [this](std::uint64_t fingerprint, std::uint32_t crashes, std::function<void(bool)> done)
+        { crash_records_->save(fingerprint, crashes, std::move(done)); };
+        options.reserve_crash_attempt =
+            [this](std::uint64_t fingerprint, std::uint32_t crashes, std::function<void(bool)> done)
+        { crash_records_->reserve(fingerprint, crashes, std::move(done)); };
+        options.remove_crash_record = [this](std::uint64_t fingerprint)
+        { crash_records_->records().remove(fingerprint); };
     }
     options.cold_interval = milliseconds(settings_.probing.cold_interval_ms);
     options.hedging.min_slots = static_cast<std::uint32_t>(settings_.probing.hedge_min_slots);
@@ -354,6 +383,10 @@
 {
     runtime::metrics_registry& metrics = instance_.metrics();
     add_store_metrics(metrics, api_);
+    if (crash_records_)
+    {
+        crash_records_->add_metrics(metrics);
+    }
     quotas_.add_to(instance_);
     metrics.gauge(
         "catkintally_probes_sent", {}, [this] { return static_cast<double>(prober_.sent()); });
