Crashing requests: a request is the same one in each part of a split

Cause: the identity of a request contained the service that the attempt had drawn, so each part of a split, or a moved route, counted it anew. Callers that come back after a refusal were recognised by the same identity.

Evidence: request_identity_test failed before: 3 identities in place of 1 on a split, 2 after a move, 3 when the route is split later; and requests to two hosts were the same one.

Change: the identity is host, method, target and body.

--- a/packages/entry/include/catkintally/entry/http/request_handler.hpp
+++ b/packages/entry/include/catkintally/entry/http/request_handler.hpp
@@ -117,9 +117,8 @@
     std::map<std::string, service_metrics> metrics_by_service_;
 };
 
-/// 64-bit FNV-1a hash of service, method, URI and body, by which a request that crashes targets is
-/// recognised. It is the same on every instance.
-[[nodiscard]] std::uint64_t
-request_fingerprint(const std::string& service, const caller_request& request);
+/// 64-bit FNV-1a hash of host, method, URI and body, by which a request that crashes targets is
+/// recognised. It is the same on every instance, and whichever service the request is sent to.
+[[nodiscard]] std::uint64_t request_fingerprint(const caller_request& request);
 
 } // namespace catkintally::entry
--- a/packages/entry/src/http/request_handler.cpp
+++ b/packages/entry/src/http/request_handler.cpp
@@ -70,7 +70,7 @@
 
 } // namespace
 
-std::uint64_t request_fingerprint(const std::string& service, const caller_request& request)
+std::uint64_t request_fingerprint(const caller_request& request)
 {
     // 64-bit FNV-1a; 0xff ends each field.
     std::uint64_t hash = 0xcbf29ce484222325U;
@@ -82,7 +82,7 @@
         }
         hash = (hash ^ 0xffU) * 0x100000001b3U;
     };
-    add(service);
+    add(core::normalized_host(request.host));
     add(request.method);
     add(request.uri);
     add(*request.body);
@@ -202,7 +202,7 @@
     admission.service = service.name;
     admission.instance = options_.instance;
     admission.failure_domain = options_.failure_domain;
-    admission.fingerprint = request_fingerprint(service.name, request);
+    admission.fingerprint = request_fingerprint(request);
     admission.body_bytes = request.body->size();
     admission.priority = route->priority;
     if (access.organisation != nullptr)
