Crash records: a kind that the store does not know has no records

Callers would see nothing; a reader would list again and again, up to once a second at first. A list of a kind without objects may be answered 404.

--- a/packages/core/src/admission/crash_record_store.cpp
+++ b/packages/core/src/admission/crash_record_store.cpp
@@ -342,7 +342,8 @@
 
 void crash_record_store::on_list(const store_list_result& answer)
 {
-    if (answer.status != store_status::ok)
+    // A kind without objects may be unknown to the store.
+    if (answer.status != store_status::ok && answer.status != store_status::not_found)
     {
         synchronised_ = false;
         retry_later();
