Returned requests: a place waits at the service that refused it

Cause: callers that come back after a refusal are recognised by the identity of the request. Requests to one service took the places of requests that another had refused.

The new check in the test of the terms of a request failed before (rank 1 == 0).

Change: the key of a place is the identity and the service.

--- a/packages/core/src/admission/shortage_policy.cpp
+++ b/packages/core/src/admission/shortage_policy.cpp
@@ -1,7 +1,10 @@
 #include <catkintally/core/admission/shortage_policy.hpp>
+#include <catkintally/core/admission/split_mix.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
+#include <string>
 
 namespace catkintally::core
 {
@@ -27,6 +30,15 @@
 /// Callers of each further rank return this much later.
 constexpr duration retry_after_step = std::chrono::milliseconds(300);
 
+/// Identifies a request that waits for a service. One that comes back and draws another part of a
+/// split has not waited for that service. 0 if the request has no identity.
+std::uint64_t return_key(const admission_request& request)
+{
+    return request.fingerprint == 0
+               ? 0
+               : split_mix(request.fingerprint ^ std::hash<std::string>()(request.service)).next();
+}
+
 } // namespace
 
 shortage_policy::shortage_policy(shortage_policy_options options)
@@ -92,7 +104,7 @@
     {
         organisations_.record_request(request.organisation, now);
     }
-    const bool returned = !request.retry && returned_.take(request.fingerprint, now);
+    const bool returned = !request.retry && returned_.take(return_key(request), now);
     shortage_terms terms;
     terms.short_of_slots = shortage.is_short(now);
     terms.rank = shortage.rank_of(request.priority, now);
@@ -190,7 +202,7 @@
     const duration after = usual + retry_after_step * terms.rank;
     if (!request.retry)
     {
-        returned_.refused(request.fingerprint, now, after);
+        returned_.refused(return_key(request), now, after);
     }
     return after;
 }
--- a/packages/core/tests/admission/shortage_policy_test.cpp
+++ b/packages/core/tests/admission/shortage_policy_test.cpp
@@ -22,6 +22,7 @@
         target_row row;
         row.slots = 6;
         table.services["desk"].targets.push_back(row);
+        table.services["other"].targets.push_back(row);
         table.organisations.emplace(2);
         for (std::size_t number : {0, 1})
         {
@@ -240,4 +241,13 @@
     fixture.fill();
     CHECK(fixture.admit(1).rank == 0);
     CHECK(fixture.admit(1).rank == 1);
+
+    // A request that draws another service of a split on its return leaves its place at this one.
+    (void)fixture.policy.retry_after(request, refused, 200ms, fixture.now);
+    fixture.now += 500ms;
+    fixture.fill();
+    request.service = "other";
+    (void)fixture.admit(1);
+    request.service = "desk";
+    CHECK(fixture.admit(1).rank == 0);
 }
